--- /dev/null
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Microbenchmarks of the decisions.
+ */
+package org.ebonyford.benchmark;
--- /dev/null
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-ins for the platform and the upstreams.
+ */
+package org.ebonyford.emulator;
--- /dev/null
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The router process and the command line.
+ */
+package org.ebonyford.router;
