--- /dev/null
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The client of the platform's append-only log service.
+ */
+package org.ebonyford.router.log;
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/effect/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Everything that a router does, as data.
+ */
+package org.ebonyford.effect;
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/event/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Everything that happens to a router, as data.
+ */
+package org.ebonyford.event;
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/identity/Incarnation.java
@@ -0,0 +1,19 @@
+package org.ebonyford.identity;
+
+/**
+ * Identifies one run of a router's process on a VM.
+ *
+ * @param vm the VM that the process runs on
+ * @param number a number that is larger for a later process on the same VM
+ */
+public record Incarnation(VmId vm, long number) {
+
+	/**
+	 * Creates an incarnation.
+	 * @throws NullPointerException if the VM is {@code null}
+	 */
+	public Incarnation {
+		java.util.Objects.requireNonNull(vm, "vm");
+	}
+
+}
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What upstreams report about their load.
+ */
+package org.ebonyford.load;
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The numbered events that routers write to their logs.
+ */
+package org.ebonyford.log;
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/message/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The messages between routers.
+ */
+package org.ebonyford.message;
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests, the ways in which they end, and what callers are told.
+ */
+package org.ebonyford.request;
