Add sites of real processes and the relays between them

Cause: failure tests, demo and bench need routers, stand-ins and the network between them as processes that can be killed, frozen, replaced and cut. Ruled out: one relay for each pair with an own view of the VM list for each reader, since routers pass the list on to each other and the addresses of upstreams are the same for all; a relay that tells its opener by the source address, since the system picks that. Change: one relay a target, which looks the opener up in the kernel's tables; a cut holds bytes and tells nobody.

--- /dev/null
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Processes that a test or a demonstration starts, disturbs and ends.
+ */
+package org.ebonyford.emulator.process;
--- /dev/null
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/relay/Network.java
@@ -0,0 +1,228 @@
+package org.ebonyford.emulator.relay;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/**
+ * Relays in front of all places that connections go to. A cut lets connections stand as a
+ * real one does: nothing passes, nobody is told, and what waits passes once it heals.
+ */
+public final class Network implements AutoCloseable {
+
+	/**
+	 * Tells who opened a connection.
+	 */
+	private final ConnectionOwner owner;
+
+	/**
+	 * The selector of all connections.
+	 */
+	private final Selector selector;
+
+	/**
+	 * What is to be done on the selector's thread.
+	 */
+	private final ConcurrentLinkedQueue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+
+	/**
+	 * The pairs of a source and a target between which nothing passes.
+	 */
+	private final Set<Cut> cuts = ConcurrentHashMap.newKeySet();
+
+	/**
+	 * The addresses behind the relays by the names of the targets.
+	 */
+	private final Map<String, String> targets = new ConcurrentHashMap<>();
+
+	/**
+	 * The open connections, used on the selector's thread only.
+	 */
+	private final Set<Tunnel> tunnels = new HashSet<>();
+
+	/**
+	 * Whether the network is closed.
+	 */
+	private volatile boolean closed;
+
+	/**
+	 * Starts a network without relays.
+	 * @param owner tells who opened a connection
+	 */
+	public Network(ConnectionOwner owner) {
+		this.owner = owner;
+		try {
+			this.selector = Selector.open();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		Thread thread = new Thread(this::run, "network");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	/**
+	 * Puts a relay in front of a target.
+	 * @param target the name of the target
+	 * @param address the host and port of the target
+	 * @return the host and port of the relay
+	 */
+	public String relay(String target, String address) {
+		this.targets.put(target, address);
+		try {
+			ServerSocketChannel server = ServerSocketChannel.open();
+			server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+			server.configureBlocking(false);
+			execute(() -> register(server, target));
+			return "127.0.0.1:" + ((InetSocketAddress) server.getLocalAddress()).getPort();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Changes where a target is. Open connections stay.
+	 * @param target the name of the target
+	 * @param address the host and port of the target
+	 */
+	public void move(String target, String address) {
+		this.targets.put(target, address);
+	}
+
+	/**
+	 * Cuts a source from a target.
+	 * @param source the name of the source
+	 * @param target the name of the target
+	 */
+	public void cut(String source, String target) {
+		this.cuts.add(new Cut(source, target));
+		execute(this::refresh);
+	}
+
+	/**
+	 * Heals the cut of a source from a target.
+	 * @param source the name of the source
+	 * @param target the name of the target
+	 */
+	public void heal(String source, String target) {
+		this.cuts.remove(new Cut(source, target));
+		execute(this::refresh);
+	}
+
+	/**
+	 * Heals all cuts.
+	 */
+	public void healAll() {
+		this.cuts.clear();
+		execute(this::refresh);
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.selector.wakeup();
+	}
+
+	private void execute(Runnable task) {
+		this.tasks.add(task);
+		this.selector.wakeup();
+	}
+
+	private void register(ServerSocketChannel server, String target) {
+		try {
+			server.register(this.selector, SelectionKey.OP_ACCEPT, target);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private void run() {
+		try {
+			while (!this.closed) {
+				this.selector.select(this::handle);
+				for (Runnable task = this.tasks.poll(); task != null; task = this.tasks.poll()) {
+					task.run();
+				}
+			}
+			for (SelectionKey key : List.copyOf(this.selector.keys())) {
+				key.channel().close();
+			}
+			this.selector.close();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private void handle(SelectionKey key) {
+		if (!key.isValid()) {
+			return;
+		}
+		if (key.isAcceptable()) {
+			accept((ServerSocketChannel) key.channel(), (String) key.attachment());
+			return;
+		}
+		Tunnel tunnel = (Tunnel) key.attachment();
+		tunnel.pump();
+		if (tunnel.closed()) {
+			this.tunnels.remove(tunnel);
+		}
+	}
+
+	private void accept(ServerSocketChannel server, String target) {
+		SocketChannel client = null;
+		try {
+			client = server.accept();
+			String source = this.owner
+				.of((InetSocketAddress) client.getRemoteAddress(), (InetSocketAddress) client.getLocalAddress())
+				.orElse("");
+			SocketChannel behind = SocketChannel.open(address(this.targets.get(target)));
+			Tunnel tunnel = new Tunnel(new Cut(source, target), client, behind, this.selector);
+			this.tunnels.add(tunnel);
+			tunnel.hold(this.cuts.contains(tunnel.ends()));
+		}
+		catch (IOException ex) {
+			Tunnel.reset(client);
+		}
+	}
+
+	private void refresh() {
+		for (Tunnel tunnel : new ArrayList<>(this.tunnels)) {
+			tunnel.hold(this.cuts.contains(tunnel.ends()));
+			if (tunnel.closed()) {
+				this.tunnels.remove(tunnel);
+			}
+		}
+	}
+
+	private static InetSocketAddress address(String address) {
+		int colon = address.lastIndexOf(':');
+		return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+	}
+
+	/**
+	 * A source and a target between which nothing passes.
+	 *
+	 * @param source the name of the source
+	 * @param target the name of the target
+	 */
+	record Cut(String source, String target) {
+
+	}
+
+}
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/UpstreamSettings.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/UpstreamSettings.java
@@ -47,6 +47,16 @@
 		return new UpstreamSettings(name, 0, 4, 32, 1, 5, 20, 0, 100, 300);
 	}
 
+	/**
+	 * Returns a copy for another upstream.
+	 * @param other the name of the upstream
+	 * @return the copy
+	 */
+	public UpstreamSettings named(String other) {
+		return new UpstreamSettings(other, this.port, this.cold, this.warm, this.completionsPerSlot, this.minCost,
+				this.maxCost, this.stepMicros, this.reportMillis, this.restartMillis);
+	}
+
 	/**
 	 * Returns a copy with other limits.
 	 * @param cold the requests that it bears right after its start
