Add the load tool with a client that checks every answer, and tests

Cause: answers have to be judged by what the request alone says they must be, and refusals by the stand-ins' counts, never by the router's word. Seen: the first run of the fault test was red (a crossed stream carried the right events under a wrong header, so the client took it for whole); the stand-in now crosses the events too. Ruled out: a fault in the client's check, which compares each event's id.

--- /dev/null
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A load tool whose client checks every answer against its own request.
+ */
+package org.ebonyford.emulator.load;
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/Call.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/Call.java
@@ -35,4 +35,21 @@
 		return this.fault.map(Fault::millis).orElse(0L);
 	}
 
+	/**
+	 * Returns the name of the request that the answer says it belongs to.
+	 * @return the name of the request, or of another one where a fault crosses answers
+	 */
+	String shownId() {
+		return struckBy(Fault.Kind.CROSSED) ? "crossed-" + this.requestId : this.requestId;
+	}
+
+	/**
+	 * Returns the text that the answer is about.
+	 * @param text the text of the request
+	 * @return the text, or another one where a fault crosses answers
+	 */
+	String shownText(String text) {
+		return struckBy(Fault.Kind.CROSSED) ? text + "/crossed" : text;
+	}
+
 }
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/Completion.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/Completion.java
@@ -134,7 +134,7 @@
 	void follow(BodyStream stream, int after) {
 		int end = done() ? this.tokens + 1 : this.generated - 1;
 		for (int index = after + 1; index <= end; index++) {
-			stream.write(Answers.event(this.call.requestId(), this.prompt, this.tokens, index));
+			stream.write(event(index));
 		}
 		if (done()) {
 			stream.finish();
@@ -199,6 +199,10 @@
 		return this.generated >= this.tokens;
 	}
 
+	private byte[] event(int index) {
+		return Answers.event(this.call.shownId(), this.call.shownText(this.prompt), this.tokens, index);
+	}
+
 	private int halfway() {
 		return Math.max(1, this.tokens / 2);
 	}
@@ -207,7 +211,7 @@
 		if (this.streams.isEmpty()) {
 			return;
 		}
-		byte[] event = Answers.event(this.call.requestId(), this.prompt, this.tokens, index);
+		byte[] event = event(index);
 		this.streams.forEach((stream) -> stream.write(event));
 	}
 
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/EngineStandIn.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/EngineStandIn.java
@@ -211,8 +211,8 @@
 	private static void answer(Completion completion) {
 		Call call = completion.call();
 		Map<String, String> headers = headers(call, Map.of("Content-Type", "application/json"));
-		String prompt = completion.prompt() + (call.struckBy(Fault.Kind.CROSSED) ? " crossed" : "");
-		byte[] body = Json.bytes(Answers.plain(name(call), prompt, completion.tokens()));
+		String prompt = call.shownText(completion.prompt());
+		byte[] body = Json.bytes(Answers.plain(call.shownId(), prompt, completion.tokens()));
 		if (call.struckBy(Fault.Kind.LOST) || call.struckBy(Fault.Kind.RESET)) {
 			call.exchange().breakOff();
 		}
@@ -232,12 +232,8 @@
 	 */
 	private static Map<String, String> headers(Call call, Map<String, String> others) {
 		Map<String, String> headers = new LinkedHashMap<>(others);
-		headers.put("X-Request-Id", name(call));
+		headers.put("X-Request-Id", call.shownId());
 		return headers;
 	}
 
-	private static String name(Call call) {
-		return call.struckBy(Fault.Kind.CROSSED) ? "crossed-" + call.requestId() : call.requestId();
-	}
-
 }
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/ServiceStandIn.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/ServiceStandIn.java
@@ -73,7 +73,7 @@
 
 	private void answer(Call call) {
 		byte[] body = Json.bytes(receipt(call));
-		Map<String, String> headers = Map.of("Content-Type", "application/json", "X-Request-Id", shownId(call));
+		Map<String, String> headers = Map.of("Content-Type", "application/json", "X-Request-Id", call.shownId());
 		if (call.struckBy(Fault.Kind.LOST) || call.struckBy(Fault.Kind.RESET)) {
 			call.exchange().breakOff();
 		}
@@ -88,17 +88,12 @@
 	private Map<String, Object> receipt(Call call) {
 		Exchange exchange = call.exchange();
 		String target = exchange.path() + (exchange.query().isEmpty() ? "" : "?" + exchange.query());
-		String crossing = call.struckBy(Fault.Kind.CROSSED) ? "/crossed" : "";
 		Map<String, Object> receipt = new LinkedHashMap<>();
 		receipt.put("service", name());
-		receipt.put("requestId", shownId(call));
+		receipt.put("requestId", call.shownId());
 		receipt.put("key", call.key());
-		receipt.put("digest", Answers.digest(exchange.method(), target + crossing, call.body()));
+		receipt.put("digest", Answers.digest(exchange.method(), call.shownText(target), call.body()));
 		return receipt;
 	}
 
-	private static String shownId(Call call) {
-		return call.struckBy(Fault.Kind.CROSSED) ? "crossed-" + call.requestId() : call.requestId();
-	}
-
 }
--- /dev/null
+++ b/ebonyford-emulator/src/test/java/org/ebonyford/emulator/load/LoadTest.java
@@ -0,0 +1,39 @@
+package org.ebonyford.emulator.load;
+
+import java.util.List;
+
+import org.testng.annotations.Test;
+
+import org.ebonyford.emulator.site.Deployment;
+import org.ebonyford.emulator.truth.Truth;
+import org.ebonyford.emulator.upstream.ServiceStandIn;
+import org.ebonyford.emulator.upstream.UpstreamSettings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests the load tool against a stand-in, without a router between.
+ */
+public class LoadTest {
+
+	@Test
+	public void testJudgesEveryAnswer() {
+		Deployment.Organisation organisation = new Deployment.Organisation("paws", "small");
+		try (ServiceStandIn service = new ServiceStandIn(UpstreamSettings.service("booking-core-1").limits(500, 500));
+				Load load = new Load(20261203)) {
+			List<Route> routes = List.of(Route.direct(service.address()));
+			load.rate(100, routes, (number) -> CallSpec.call(organisation, "booking-core", "/quotes", "q" + number))
+				.backlog(4, routes, (number) -> CallSpec.call(organisation, "booking-core", "/visits", "v" + number));
+			org.ebonyford.emulator.process.Await.until("some answers", 30,
+					() -> load.report().count(Verdict.Result.COMPLETED) > 200);
+			Report report = load.stop();
+			Truth truth = (Truth) service.truth(true);
+			assertEquals(report.count(Verdict.Result.COMPLETED), truth.completed());
+			assertEquals(report.violations(), List.of());
+			assertTrue(Audit.of(report.verdicts(), List.of(truth)).clean());
+			assertTrue(report.latencies((verdict) -> true, Verdict::totalNanos).getValueAtPercentile(50) >= 5_000);
+		}
+	}
+
+}
