Add the demonstration of the whole path

Cause: a stranger should see in one command that requests of both deployments' kinds go through three routers in two data centres, judged by the stand-ins. Change: `demo` starts a site, sends nine requests (plain, streamed, a booking and a report sent twice through two routers), prints a table with the number of runs that the stand-ins counted, and fails if an answer is wrong; settings files follow the settings reader's keys.

--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/Main.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/Main.java
@@ -7,6 +7,7 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import io.dropwizard.logging.common.BootstrapLogging;
 
+import org.ebonyford.emulator.demo.DemoCommand;
 import org.ebonyford.emulator.standin.StandInCommand;
 
 /**
@@ -47,7 +48,7 @@
 		CliBuilder<Runnable> builder = Cli.<Runnable>builder("ebonyford-emulator")
 			.withDescription("Stand-ins for the platform and the upstreams, with a load and experiment tool")
 			.withDefaultCommand(Help.class)
-			.withCommands(Help.class, StandInCommand.class);
+			.withCommands(Help.class, StandInCommand.class, DemoCommand.class);
 		return builder.build();
 	}
 
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/RouterSettings.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/RouterSettings.java
@@ -4,6 +4,10 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 
 /**
  * The settings of one router's process.
@@ -15,9 +19,10 @@
  * @param peersPort the port for other routers
  * @param log the host and port of the log service
  * @param vms the host and port of the VM list
+ * @param others further settings
  */
 public record RouterSettings(String vm, String dataCentre, int callersPort, int operatorsPort, int peersPort,
-		String log, String vms) {
+		String log, String vms, List<Setting> others) {
 
 	/**
 	 * The secret of the operators.
@@ -29,22 +34,64 @@
 	 */
 	private static final String PEERS_SECRET = "the-routers-secret-of-a-test";
 
+	/**
+	 * Creates settings.
+	 */
+	public RouterSettings {
+		others = List.copyOf(others);
+	}
+
 	/**
 	 * Writes the settings to a file.
 	 * @param file the file
 	 */
 	public void write(Path file) {
-		String text = String.join("\n", "[router]", "vm = " + this.vm, "data-centre = " + this.dataCentre, "",
-				"[callers]", "host = 127.0.0.1", "port = " + this.callersPort, "", "[operators]", "host = 127.0.0.1",
-				"port = " + this.operatorsPort, "secret = " + OPERATORS_SECRET, "", "[peers]", "host = 127.0.0.1",
-				"port = " + this.peersPort, "secret = " + PEERS_SECRET, "", "[platform]", "log = " + this.log,
-				"vms = " + this.vms, "");
+		Map<String, List<String>> sections = new LinkedHashMap<>();
+		for (Setting setting : all()) {
+			sections.computeIfAbsent(setting.section(), (ignored) -> new ArrayList<>())
+				.add(setting.key() + " = " + setting.value());
+		}
+		List<String> lines = new ArrayList<>();
+		sections.forEach((section, entries) -> {
+			lines.add("[" + section + "]");
+			lines.addAll(entries);
+			lines.add("");
+		});
 		try {
-			Files.writeString(file, text);
+			Files.write(file, lines);
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
 	}
 
+	private List<Setting> all() {
+		List<Setting> all = new ArrayList<>(
+				List.of(new Setting("router", "vm", this.vm), new Setting("router", "data-centre", this.dataCentre),
+						new Setting("platform", "log", "http://" + this.log),
+						new Setting("platform", "list", "http://" + this.vms)));
+		all.addAll(listener("callers", this.callersPort));
+		all.addAll(listener("operators", this.operatorsPort));
+		all.add(new Setting("operators", "secret", OPERATORS_SECRET));
+		all.addAll(listener("peers", this.peersPort));
+		all.add(new Setting("peers", "secret", PEERS_SECRET));
+		all.addAll(this.others);
+		return all;
+	}
+
+	private static List<Setting> listener(String section, int port) {
+		return List.of(new Setting(section, "host", "127.0.0.1"), new Setting(section, "port", Integer.toString(port)));
+	}
+
+	/**
+	 * One setting.
+	 *
+	 * @param section the section that it stands in
+	 * @param key its key
+	 * @param value its value
+	 */
+	public record Setting(String section, String key, String value) {
+
+	}
+
 }
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/Site.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/Site.java
@@ -55,6 +55,11 @@
 	 */
 	private final Path executable;
 
+	/**
+	 * The settings of all routers beside their addresses.
+	 */
+	private final List<RouterSettings.Setting> settings;
+
 	/**
 	 * The directory that takes settings and output.
 	 */
@@ -103,6 +108,7 @@
 	private Site(Builder builder, Path directory) {
 		this.deployment = builder.deployment;
 		this.executable = builder.executable;
+		this.settings = builder.settings;
 		this.directory = directory;
 		this.network = builder.relayed ? new Network(new ConnectionOwner.ForProcesses(this.owners)) : null;
 		this.standIns = StandIns.start(this.deployment, directory);
@@ -114,7 +120,7 @@
 	 * @return a builder
 	 */
 	public static Builder of(Deployment deployment) {
-		return new Builder(deployment, executableFile(), false);
+		return new Builder(deployment, executableFile(), false, List.of());
 	}
 
 	/**
@@ -174,36 +180,34 @@
 	}
 
 	/**
-	 * Publishes the lists of the site's own deployment through the first router.
+	 * Publishes the lists of the site's own deployment.
 	 * @return how the command ended
 	 */
 	public CommandResult publish() {
-		return publish(this.deployment, router(0));
+		return publish(this.deployment);
 	}
 
 	/**
 	 * Publishes the lists of a deployment, which may differ from the site's own in plans
 	 * and organisations.
 	 * @param changed the deployment
-	 * @param through the router to publish through
 	 * @return how the command ended
 	 */
-	public CommandResult publish(Deployment changed, Router through) {
+	public CommandResult publish(Deployment changed) {
 		ConfigurationFiles.of(changed, (upstream) -> reach(upstream, this.standIns.address(upstream)))
 			.write(this.directory);
-		return operate(through, "publish", "--plans", this.directory.resolve("plans.ini").toString(), "--uses",
+		return operate("publish", "--plans", this.directory.resolve("plans.ini").toString(), "--uses",
 				this.directory.resolve("uses.ini").toString());
 	}
 
 	/**
-	 * Runs an operator's command against a router.
-	 * @param through the router
+	 * Runs an operator's command that goes through the log.
 	 * @param arguments the command and its options
 	 * @return how the command ended
 	 */
-	public CommandResult operate(Router through, String... arguments) {
+	public CommandResult operate(String... arguments) {
 		List<String> all = new ArrayList<>(List.of(arguments));
-		all.addAll(List.of("--router", through.operators(), "--secret", RouterSettings.OPERATORS_SECRET));
+		all.addAll(List.of("--log", "http://" + this.standIns.address(StandIns.LOG)));
 		return command(all.toArray(String[]::new));
 	}
 
@@ -332,7 +336,7 @@
 		String vm = this.deployment.vm(index);
 		RouterSettings settings = new RouterSettings(vm, this.deployment.dataCentre(index), Ports.choose(),
 				Ports.choose(), Ports.choose(), reach(StandIns.LOG, this.standIns.address(StandIns.LOG)),
-				reach(StandIns.VMS, this.standIns.address(StandIns.VMS)));
+				reach(StandIns.VMS, this.standIns.address(StandIns.VMS)), this.settings);
 		Router router = Router.start(settings, this.executable, this.directory);
 		this.owners.put(router.process().pid(), vm);
 		this.routers.put(vm, router);
@@ -428,10 +432,17 @@
 		 */
 		private final boolean relayed;
 
-		private Builder(Deployment deployment, Path executable, boolean relayed) {
+		/**
+		 * The settings of all routers beside their addresses.
+		 */
+		private final List<RouterSettings.Setting> settings;
+
+		private Builder(Deployment deployment, Path executable, boolean relayed,
+				List<RouterSettings.Setting> settings) {
 			this.deployment = deployment;
 			this.executable = executable;
 			this.relayed = relayed;
+			this.settings = List.copyOf(settings);
 		}
 
 		/**
@@ -440,7 +451,7 @@
 		 * @return the builder
 		 */
 		public Builder routers(int number) {
-			return new Builder(this.deployment.withRouters(number), this.executable, this.relayed);
+			return new Builder(this.deployment.withRouters(number), this.executable, this.relayed, this.settings);
 		}
 
 		/**
@@ -448,7 +459,20 @@
 		 * @return the builder
 		 */
 		public Builder relayed() {
-			return new Builder(this.deployment, this.executable, true);
+			return new Builder(this.deployment, this.executable, true, this.settings);
+		}
+
+		/**
+		 * Returns a builder with one setting more of all routers.
+		 * @param section the section that it stands in
+		 * @param key its key
+		 * @param value its value
+		 * @return the builder
+		 */
+		public Builder setting(String section, String key, String value) {
+			List<RouterSettings.Setting> more = new ArrayList<>(this.settings);
+			more.add(new RouterSettings.Setting(section, key, value));
+			return new Builder(this.deployment, this.executable, this.relayed, more);
 		}
 
 		/**
@@ -457,7 +481,7 @@
 		 * @return the builder
 		 */
 		public Builder executable(Path file) {
-			return new Builder(this.deployment, file, this.relayed);
+			return new Builder(this.deployment, file, this.relayed, this.settings);
 		}
 
 		/**
