--- /dev/null
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerTraffic.java
@@ -0,0 +1,56 @@
+package org.ebonyford.router.peer;
+
+import com.codahale.metrics.MetricRegistry;
+
+import org.ebonyford.router.generated.Envelope;
+
+/**
+ * Counts the messages and bytes that go between routers.
+ */
+final class PeerTraffic {
+
+	/**
+	 * The registry that keeps the counts.
+	 */
+	private final MetricRegistry registry;
+
+	/**
+	 * Creates the counts.
+	 * @param registry the registry that keeps them
+	 */
+	PeerTraffic(MetricRegistry registry) {
+		this.registry = registry;
+	}
+
+	/**
+	 * Counts a message that was sent.
+	 * @param envelope the message
+	 */
+	void sent(Envelope envelope) {
+		count("sent", envelope);
+	}
+
+	/**
+	 * Counts a message that was received.
+	 * @param envelope the message
+	 */
+	void received(Envelope envelope) {
+		count("received", envelope);
+	}
+
+	/**
+	 * Counts a message that was given up since its link is down.
+	 */
+	void dropped() {
+		this.registry.counter("peer.dropped.messages").inc();
+	}
+
+	private void count(String direction, Envelope envelope) {
+		String prefix = "peer." + direction + ".";
+		this.registry.counter(prefix + "messages").inc();
+		this.registry.counter(prefix + "bytes").inc(envelope.getSerializedSize());
+		this.registry.counter(prefix + "messages." + envelope.getBodyCase().name().toLowerCase(java.util.Locale.ROOT))
+			.inc();
+	}
+
+}
--- a/ebonyford/src/main/java/org/ebonyford/effect/Effect.java
+++ b/ebonyford/src/main/java/org/ebonyford/effect/Effect.java
@@ -1,9 +1,12 @@
 package org.ebonyford.effect;
 
 import java.util.List;
+import java.util.Map;
 
 import org.ebonyford.claim.ClaimRecord;
+import org.ebonyford.configuration.Configuration;
 import org.ebonyford.control.ControlRecord;
+import org.ebonyford.control.ControlState;
 import org.ebonyford.identity.RequestId;
 import org.ebonyford.identity.UpstreamId;
 import org.ebonyford.identity.VmId;
@@ -116,6 +119,48 @@
 
 	}
 
+	/**
+	 * Keep links to these routers and to no others.
+	 *
+	 * @param addresses the host and port of each router's own interface
+	 */
+	record ConnectPeers(Map<VmId, String> addresses) implements Effect {
+
+		/**
+		 * Creates an effect.
+		 */
+		public ConnectPeers {
+			addresses = Map.copyOf(addresses);
+		}
+
+	}
+
+	/**
+	 * Ask these upstreams for their load, and no others.
+	 *
+	 * @param addresses the host and port of each upstream
+	 */
+	record WatchUpstreams(Map<UpstreamId, String> addresses) implements Effect {
+
+		/**
+		 * Creates an effect.
+		 */
+		public WatchUpstreams {
+			addresses = Map.copyOf(addresses);
+		}
+
+	}
+
+	/**
+	 * Serve callers under a configuration from now on.
+	 *
+	 * @param state the control state that came into force
+	 * @param configuration the configuration in it
+	 */
+	record Configure(ControlState state, Configuration configuration) implements Effect {
+
+	}
+
 	/**
 	 * End the process, since nothing is left to do.
 	 */
