--- a/ebonyford-router/src/main/java/org/ebonyford/router/EffectHandler.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/EffectHandler.java
@@ -1,5 +1,8 @@
 package org.ebonyford.router;
 
+import java.util.HashMap;
+import java.util.Map;
+
 import org.ebonyford.effect.Effect;
 
 /**
@@ -14,4 +17,41 @@
 	 */
 	void handle(Effect effect);
 
+	/**
+	 * A handler that hands each kind of effect to the handler that was set for it.
+	 */
+	final class Compound implements EffectHandler {
+
+		/**
+		 * The handlers by the kind of effect.
+		 */
+		private final Map<Class<? extends Effect>, EffectHandler> handlers = new HashMap<>();
+
+		/**
+		 * Sets the handler of a kind of effect.
+		 * @param kind the kind
+		 * @param handler the handler
+		 * @return this handler
+		 */
+		public Compound on(Class<? extends Effect> kind, EffectHandler handler) {
+			this.handlers.put(kind, handler);
+			return this;
+		}
+
+		/**
+		 * Carries out an effect.
+		 * @param effect the effect
+		 * @throws IllegalStateException if no handler was set for its kind
+		 */
+		@Override
+		public void handle(Effect effect) {
+			EffectHandler handler = this.handlers.get(effect.getClass());
+			if (handler == null) {
+				throw new IllegalStateException("No handler for " + effect.getClass().getSimpleName());
+			}
+			handler.handle(effect);
+		}
+
+	}
+
 }
--- /dev/null
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/loop/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The one thread that applies all events and hands out their effects.
+ */
+package org.ebonyford.router.loop;
