--- a/ebonyford/src/main/java/org/ebonyford/effect/Effect.java
+++ b/ebonyford/src/main/java/org/ebonyford/effect/Effect.java
@@ -87,7 +87,8 @@
 	}
 
 	/**
-	 * Append a state to the control stream. The offset in the record is not set.
+	 * Append a state to the control stream. The offset and the time in the record are not
+	 * set.
 	 *
 	 * @param append the number of the append
 	 * @param record the proposed state
