--- /dev/null
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The router's process: its parts put together, started and stopped.
+ */
+package org.ebonyford.router.process;
