--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Announcements.java
@@ -0,0 +1,120 @@
+package org.ebonyford.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.ebonyford.effect.Effect;
+import org.ebonyford.effect.Outbox;
+import org.ebonyford.identity.VmId;
+import org.ebonyford.message.PeerMessage.Occupied;
+import org.ebonyford.message.PeerMessage.Service;
+
+/**
+ * What a router tells the others without being asked: which slots its requests occupy and
+ * what service it charged.
+ */
+final class Announcements {
+
+	/**
+	 * The pools, the upstreams and the other routers.
+	 */
+	private final Fleet fleet;
+
+	/**
+	 * The requests that came to this router.
+	 */
+	private final Entry entry;
+
+	/**
+	 * The clock reading in milliseconds at which the next confirmation is due.
+	 */
+	private long confirmAt;
+
+	/**
+	 * The clock reading in milliseconds at which the next gossip is due.
+	 */
+	private long gossipAt;
+
+	Announcements(Fleet fleet, Entry entry) {
+		this.fleet = fleet;
+		this.entry = entry;
+	}
+
+	/**
+	 * Sends what is due.
+	 * @param now the clock reading in milliseconds
+	 * @param outbox takes the messages
+	 * @return the own slots that own requests occupy, or empty if no confirmation is due
+	 */
+	Optional<Occupied> tick(long now, Outbox outbox) {
+		if (now >= this.gossipAt) {
+			this.gossipAt = now + this.fleet.settings().times().gossip();
+			gossip(outbox);
+		}
+		return (now >= this.confirmAt) ? occupied(now, outbox) : Optional.empty();
+	}
+
+	/**
+	 * Tells the owners of slots which of them the requests of this router occupy.
+	 * @param now the clock reading in milliseconds
+	 * @param outbox takes the messages
+	 * @return the own slots that own requests occupy
+	 */
+	Optional<Occupied> occupied(long now, Outbox outbox) {
+		this.confirmAt = now + this.fleet.settings().times().confirmation();
+		Fleet.ByVm<Occupied.Slot> slots = new Fleet.ByVm<>();
+		for (Running running : this.entry.running()) {
+			Occupied.Slot slot = new Occupied.Slot(running.upstream().upstream().id(), running.slot(), running.grant(),
+					running.waiting().request().organisation());
+			running.upstream().owner(running.slot()).ifPresent((owner) -> slots.add(owner, slot));
+		}
+		List<Occupied.Slot> own = slots.remove(this.fleet.self().vm());
+		send(now, slots, outbox);
+		return Optional.ofNullable(own).map((list) -> new Occupied(now, list));
+	}
+
+	/**
+	 * Tells the new owners of slots what occupies them.
+	 * @param now the clock reading in milliseconds
+	 * @param moved the slots that this router let go
+	 * @param outbox takes the messages
+	 */
+	void moved(long now, List<Fleet.Moved> moved, Outbox outbox) {
+		Fleet.ByVm<Occupied.Slot> slots = new Fleet.ByVm<>();
+		for (Fleet.Moved slot : moved) {
+			slots.add(slot.owner(), new Occupied.Slot(slot.upstream().upstream().id(), slot.slot(),
+					slot.occupant().grant(), slot.occupant().organisation()));
+		}
+		send(now, slots, outbox);
+	}
+
+	/**
+	 * Tells a process that is new all service that is known.
+	 * @param vm the VM of the process
+	 * @param outbox takes the messages
+	 */
+	void welcome(VmId vm, Outbox outbox) {
+		for (PoolState pool : this.fleet.pools()) {
+			pool.ledger()
+				.rows()
+				.forEach((origin, rows) -> outbox
+					.add(new Effect.ToPeer(vm, new Service(origin, pool.pool().id(), rows))));
+		}
+	}
+
+	private void gossip(Outbox outbox) {
+		List<VmId> peers = this.fleet.peers();
+		for (PoolState pool : this.fleet.pools()) {
+			List<Service.Row> rows = pool.ledger().drainChanges();
+			if (!rows.isEmpty()) {
+				Service service = new Service(this.fleet.self(), pool.pool().id(), rows);
+				peers.forEach((peer) -> outbox.add(new Effect.ToPeer(peer, service)));
+			}
+		}
+	}
+
+	private void send(long now, Fleet.ByVm<Occupied.Slot> slots, Outbox outbox) {
+		slots.forEach((owner, list) -> outbox.add(new Effect.ToPeer(owner, new Occupied(now, list))));
+	}
+
+}
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Fleet.java
@@ -0,0 +1,274 @@
+package org.ebonyford.dispatch;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import org.ebonyford.configuration.Pool;
+import org.ebonyford.configuration.Upstream;
+import org.ebonyford.fairness.CostEstimate;
+import org.ebonyford.fairness.ServiceLedger;
+import org.ebonyford.identity.DataCentreId;
+import org.ebonyford.identity.Incarnation;
+import org.ebonyford.identity.PoolId;
+import org.ebonyford.identity.UpstreamId;
+import org.ebonyford.identity.VmId;
+import org.ebonyford.slot.Occupant;
+import org.ebonyford.topology.Topology;
+import org.ebonyford.warmup.Warmth;
+
+/**
+ * The pools, the upstreams and the other routers as this router sees them.
+ */
+final class Fleet {
+
+	/**
+	 * The bounds and strategies.
+	 */
+	private final DispatchSettings settings;
+
+	/**
+	 * This process.
+	 */
+	private final Incarnation self;
+
+	/**
+	 * The pools in the order of their names.
+	 */
+	private final Map<PoolId, PoolState> pools = new TreeMap<>();
+
+	/**
+	 * The upstreams in the order of their names.
+	 */
+	private final Map<UpstreamId, UpstreamState> upstreams = new TreeMap<>();
+
+	/**
+	 * The VMs of the routers that can't be reached.
+	 */
+	private final Set<VmId> lost = new HashSet<>();
+
+	/**
+	 * The fleet's topology, or {@code null} before the first one.
+	 */
+	private Topology topology;
+
+	/**
+	 * The clock reading in milliseconds from which slots that nobody owned before may be
+	 * granted.
+	 */
+	private long startedUpAt;
+
+	Fleet(DispatchSettings settings, Incarnation self) {
+		this.settings = settings;
+		this.self = self;
+	}
+
+	DispatchSettings settings() {
+		return this.settings;
+	}
+
+	Incarnation self() {
+		return this.self;
+	}
+
+	Collection<PoolState> pools() {
+		return this.pools.values();
+	}
+
+	Optional<PoolState> pool(PoolId id) {
+		return Optional.ofNullable(this.pools.get(id));
+	}
+
+	Collection<UpstreamState> upstreams() {
+		return this.upstreams.values();
+	}
+
+	Optional<UpstreamState> upstream(UpstreamId id) {
+		return Optional.ofNullable(this.upstreams.get(id));
+	}
+
+	Optional<Topology> topology() {
+		return Optional.ofNullable(this.topology);
+	}
+
+	/**
+	 * Returns whether the start of this router is over, so that it knows what the others
+	 * know.
+	 * @param now the clock reading in milliseconds
+	 * @return whether it is over
+	 */
+	boolean startedUp(long now) {
+		return this.topology != null && now >= this.startedUpAt;
+	}
+
+	/**
+	 * Returns the other routers that can be reached.
+	 * @return the VMs of the routers
+	 */
+	List<VmId> peers() {
+		List<VmId> peers = new ArrayList<>();
+		if (this.topology != null) {
+			for (VmId router : this.topology.routers()) {
+				if (!router.equals(this.self.vm()) && !this.lost.contains(router)) {
+					peers.add(router);
+				}
+			}
+		}
+		return peers;
+	}
+
+	/**
+	 * Takes in whether a router can be reached.
+	 * @param vm the VM of the router
+	 * @param reachable whether it can be reached
+	 */
+	void reachable(VmId vm, boolean reachable) {
+		boolean changed = reachable ? this.lost.remove(vm) : this.lost.add(vm);
+		if (changed && this.topology != null) {
+			selectOwners();
+		}
+	}
+
+	/**
+	 * Puts a topology in force.
+	 * @param now the clock reading in milliseconds
+	 * @param next the topology
+	 * @return what occupies the slots that this router let go
+	 */
+	List<Moved> apply(long now, Topology next) {
+		if (this.topology == null) {
+			this.startedUpAt = now + this.settings.times().startUp();
+		}
+		boolean first = this.topology == null;
+		this.topology = next;
+		this.pools.values().forEach((pool) -> pool.configure(pool.pool()));
+		this.upstreams.values().forEach(UpstreamState::close);
+		next.configuration().pools().values().forEach(this::configure);
+		List<Moved> moved = new ArrayList<>();
+		Map<DataCentreId, List<VmId>> candidates = new HashMap<>();
+		for (Upstream upstream : new TreeMap<>(next.configuration().upstreams()).values()) {
+			List<VmId> owners = candidates.computeIfAbsent(upstream.dataCentre(), next::ownersFor);
+			configure(now, upstream, owners, first, moved);
+		}
+		selectOwners();
+		return moved;
+	}
+
+	private void configure(Pool pool) {
+		PoolState state = this.pools.get(pool.id());
+		if (state == null) {
+			ServiceLedger ledger = new ServiceLedger(this.self, this.settings.times().idle(),
+					CostEstimate.OfRatio::new);
+			state = new PoolState(this.self.vm(), pool, ledger, this.settings);
+			this.pools.put(pool.id(), state);
+		}
+		state.configure(pool);
+		state.ledger().weights(this.topology.configuration()::weight);
+	}
+
+	private void configure(long now, Upstream upstream, List<VmId> candidates, boolean first, List<Moved> moved) {
+		PoolState pool = this.pools.get(upstream.pool());
+		UpstreamState state = this.upstreams.get(upstream.id());
+		boolean added = state == null;
+		if (added) {
+			Warmth warmth = new Warmth(this.settings.warmUp(), this.settings.times().stale(),
+					this.settings.times().lost());
+			state = new UpstreamState(warmth);
+			this.upstreams.put(upstream.id(), state);
+		}
+		state.configure(upstream, pool.pool(), this.topology.open(upstream.id()));
+		pool.upstreams().add(state);
+		long wait = (first || added) ? this.settings.times().startUp() : this.settings.times().handover();
+		assign(now + wait, state, owners(upstream.id(), pool.pool().warmLimit(), candidates), moved);
+	}
+
+	private VmId[] owners(UpstreamId upstream, int slots, List<VmId> candidates) {
+		VmId[] owners = new VmId[slots];
+		for (int slot = 0; slot < slots; slot++) {
+			owners[slot] = this.settings.slotOwners().owner(upstream, slot, candidates).orElse(null);
+		}
+		return owners;
+	}
+
+	private void assign(long availableAt, UpstreamState state, VmId[] owners, List<Moved> moved) {
+		VmId[] former = state.owners();
+		state.owners(owners);
+		for (int slot = 0; slot < Math.max(former.length, owners.length); slot++) {
+			boolean owned = state.slots().owns(slot);
+			boolean owns = slot < owners.length && this.self.vm().equals(owners[slot]);
+			if (owned && !owns) {
+				letGo(state, slot, moved);
+			}
+			else if (owns && !owned) {
+				state.slots().take(slot, availableAt);
+			}
+		}
+	}
+
+	private void letGo(UpstreamState state, int slot, List<Moved> moved) {
+		state.slots()
+			.letGo(slot)
+			.flatMap((occupant) -> state.owner(slot).map((owner) -> new Moved(state, slot, owner, occupant)))
+			.ifPresent(moved::add);
+	}
+
+	private void selectOwners() {
+		for (PoolState pool : this.pools.values()) {
+			Set<VmId> near = new TreeSet<>();
+			Set<VmId> far = new TreeSet<>();
+			for (UpstreamState upstream : pool.upstreams()) {
+				if (upstream.open()) {
+					boolean local = upstream.upstream().dataCentre().equals(this.topology.dataCentre());
+					collect(upstream, local ? near : far);
+				}
+			}
+			far.removeAll(near);
+			pool.sender().owners(List.copyOf(near), List.copyOf(far));
+		}
+	}
+
+	private void collect(UpstreamState upstream, Set<VmId> into) {
+		Arrays.stream(upstream.owners())
+			.filter(Objects::nonNull)
+			.filter((owner) -> !owner.equals(this.self.vm()) && !this.lost.contains(owner))
+			.forEach(into::add);
+	}
+
+	/**
+	 * What occupies a slot that this router let go.
+	 *
+	 * @param upstream the upstream
+	 * @param slot the slot
+	 * @param owner the new owner
+	 * @param occupant the request in the slot
+	 */
+	record Moved(UpstreamState upstream, int slot, VmId owner, Occupant occupant) {
+
+	}
+
+	/**
+	 * Groups messages by the router that they go to.
+	 *
+	 * @param <T> the type of what is sent
+	 */
+	static final class ByVm<T> extends LinkedHashMap<VmId, List<T>> {
+
+		private static final long serialVersionUID = 1L;
+
+		void add(VmId vm, T part) {
+			computeIfAbsent(vm, (absent) -> new ArrayList<>()).add(part);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
@@ -0,0 +1,167 @@
+package org.ebonyford.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.ebonyford.configuration.Pool;
+import org.ebonyford.fairness.Account;
+import org.ebonyford.fairness.ServiceLedger;
+import org.ebonyford.identity.OrganisationId;
+import org.ebonyford.identity.VmId;
+
+/**
+ * What this router knows of one pool.
+ */
+final class PoolState {
+
+	/**
+	 * The share of the latest request in the average cost.
+	 */
+	private static final double SHARE = 1.0 / 64;
+
+	/**
+	 * The VM of this router.
+	 */
+	private final VmId self;
+
+	/**
+	 * The service that organisations got.
+	 */
+	private final ServiceLedger ledger;
+
+	/**
+	 * The requests that wait at this router.
+	 */
+	private final EntryQueue queue = new EntryQueue();
+
+	/**
+	 * The demand that this router knows of as an owner.
+	 */
+	private final DemandTable demand = new DemandTable();
+
+	/**
+	 * The demand that this router told other owners.
+	 */
+	private final DemandSender sender;
+
+	/**
+	 * The configured upstreams of the pool.
+	 */
+	private List<UpstreamState> upstreams = new ArrayList<>();
+
+	/**
+	 * The pool's entry in the configuration.
+	 */
+	private Pool pool;
+
+	/**
+	 * The average cost of a request.
+	 */
+	private double meanCost = 1;
+
+	PoolState(VmId self, Pool pool, ServiceLedger ledger, DispatchSettings settings) {
+		this.self = self;
+		this.pool = pool;
+		this.ledger = ledger;
+		this.sender = new DemandSender(pool.id(), this.queue, settings);
+	}
+
+	Pool pool() {
+		return this.pool;
+	}
+
+	ServiceLedger ledger() {
+		return this.ledger;
+	}
+
+	EntryQueue queue() {
+		return this.queue;
+	}
+
+	DemandTable demand() {
+		return this.demand;
+	}
+
+	DemandSender sender() {
+		return this.sender;
+	}
+
+	List<UpstreamState> upstreams() {
+		return this.upstreams;
+	}
+
+	void configure(Pool definition) {
+		this.pool = definition;
+		this.upstreams = new ArrayList<>();
+	}
+
+	boolean open() {
+		for (UpstreamState upstream : this.upstreams) {
+			if (upstream.open()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	/**
+	 * Takes in that the requests of an organisation that wait at this router changed.
+	 * @param now the clock reading in milliseconds
+	 * @param organisation the organisation
+	 */
+	void queueChanged(long now, OrganisationId organisation) {
+		int count = this.queue.count(organisation);
+		long hint = (count > 0) ? this.queue.first(organisation).request().costHint() : 1;
+		this.demand.put(this.self, organisation, count, hint);
+		this.sender.changed(now, organisation);
+		demandChanged(now, organisation);
+	}
+
+	/**
+	 * Takes in that the demand of an organisation that this router knows of changed.
+	 * @param now the clock reading in milliseconds
+	 * @param organisation the organisation
+	 */
+	void demandChanged(long now, OrganisationId organisation) {
+		this.ledger.waiting(now, this.ledger.account(organisation), this.demand.waits(organisation));
+	}
+
+	/**
+	 * Corrects the charge for a request that ended.
+	 * @param account the account of the organisation that was charged
+	 * @param charged the cost that was charged
+	 * @param cost the true cost
+	 */
+	void correct(Account account, long charged, long cost) {
+		if (cost > charged) {
+			this.ledger.charge(account, cost - charged);
+		}
+		else if (cost < charged) {
+			this.ledger.refund(account, charged - cost);
+		}
+	}
+
+	/**
+	 * Takes in the true cost of a request that completed.
+	 * @param account the organisation's account
+	 * @param hint the cost that came with the request
+	 * @param cost the true cost
+	 */
+	void learn(Account account, long hint, long cost) {
+		account.estimate().learn(hint, cost);
+		this.meanCost += SHARE * (cost - this.meanCost);
+	}
+
+	/**
+	 * Adapts the debt that organisations may carry on to the average cost.
+	 * @param rounds the number of times that the debt fills all slots
+	 */
+	void boundDebt(int rounds) {
+		long slots = 0;
+		for (UpstreamState upstream : this.upstreams) {
+			slots += upstream.owners().length;
+		}
+		this.ledger.debtCap(Math.max(1, (long) (rounds * slots * this.meanCost)));
+	}
+
+}
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decides which request runs on which upstream and when.
+ */
+package org.ebonyford.dispatch;
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/fairness/Account.java
@@ -0,0 +1,226 @@
+package org.ebonyford.fairness;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.ebonyford.identity.Incarnation;
+import org.ebonyford.identity.OrganisationId;
+import org.ebonyford.identity.VmId;
+import org.ebonyford.message.PeerMessage.Service;
+
+/**
+ * The service that one organisation got from one pool, as far as this router knows. Only
+ * the {@link ServiceLedger} that it belongs to changes it.
+ */
+public final class Account {
+
+	/**
+	 * The units of virtual service in a unit of cost at weight 1.
+	 */
+	static final long SCALE = 1000;
+
+	/**
+	 * The organisation.
+	 */
+	private final OrganisationId organisation;
+
+	/**
+	 * The totals of every process that charged the organisation.
+	 */
+	private final Map<Incarnation, Totals> totals = new HashMap<>();
+
+	/**
+	 * The VMs of the other routers that know of waiting requests.
+	 */
+	private final Set<VmId> backloggedAt = new HashSet<>();
+
+	/**
+	 * Turns hints into costs.
+	 */
+	private final CostEstimate estimate;
+
+	/**
+	 * The weight of the organisation.
+	 */
+	private int weight;
+
+	/**
+	 * The service, which is all charges without all refunds.
+	 */
+	private long service;
+
+	/**
+	 * The virtual service by which the organisation was lifted.
+	 */
+	private long lift;
+
+	/**
+	 * The virtual service.
+	 */
+	private long virtualService;
+
+	/**
+	 * Whether this router knows of waiting requests.
+	 */
+	private boolean waiting;
+
+	/**
+	 * The clock reading in milliseconds since which no router knows of waiting requests.
+	 */
+	private long idleSince = Long.MIN_VALUE;
+
+	/**
+	 * Creates an account without any service.
+	 * @param organisation the organisation
+	 * @param weight the weight of the organisation
+	 * @param estimate turns hints into costs
+	 */
+	Account(OrganisationId organisation, int weight, CostEstimate estimate) {
+		this.organisation = organisation;
+		this.weight = weight;
+		this.estimate = estimate;
+	}
+
+	/**
+	 * Returns whose account this is.
+	 * @return the organisation
+	 */
+	public OrganisationId organisation() {
+		return this.organisation;
+	}
+
+	/**
+	 * Returns the estimate of the organisation's costs.
+	 * @return what turns hints into costs
+	 */
+	public CostEstimate estimate() {
+		return this.estimate;
+	}
+
+	/**
+	 * Returns the service in units of cost.
+	 * @return all charges without all refunds of all known processes
+	 */
+	public long service() {
+		return this.service;
+	}
+
+	/**
+	 * Returns the virtual service, by which organisations are compared.
+	 * @return the service divided by the weight, with all lifts
+	 */
+	public long virtualService() {
+		return this.virtualService;
+	}
+
+	/**
+	 * Returns whether this router knows of waiting requests.
+	 * @return whether requests are waiting
+	 */
+	public boolean waiting() {
+		return this.waiting;
+	}
+
+	/**
+	 * Returns whether any router knows of waiting requests.
+	 * @return whether requests are waiting
+	 */
+	public boolean backlogged() {
+		return this.waiting || !this.backloggedAt.isEmpty();
+	}
+
+	long lift() {
+		return this.lift;
+	}
+
+	Map<Incarnation, Totals> totals() {
+		return this.totals;
+	}
+
+	Totals totalsOf(Incarnation origin) {
+		return this.totals.computeIfAbsent(origin, (absent) -> new Totals());
+	}
+
+	boolean idleFor(long now, long millis) {
+		return this.idleSince == Long.MIN_VALUE || now - this.idleSince >= millis;
+	}
+
+	void idleSince(long now) {
+		this.idleSince = now;
+	}
+
+	void waiting(boolean value) {
+		this.waiting = value;
+	}
+
+	boolean backloggedAt(VmId vm, boolean value) {
+		return value ? this.backloggedAt.add(vm) : this.backloggedAt.remove(vm);
+	}
+
+	void weight(int value) {
+		this.weight = value;
+		compute();
+	}
+
+	void raiseLift(long value) {
+		this.lift = Math.max(this.lift, value);
+		compute();
+	}
+
+	void charge(Incarnation origin, long cost) {
+		totalsOf(origin).charged += cost;
+		this.service += cost;
+		compute();
+	}
+
+	void refund(Incarnation origin, long cost) {
+		totalsOf(origin).refunded += cost;
+		this.service -= cost;
+		compute();
+	}
+
+	void merge(Incarnation origin, Service.Row row) {
+		Totals known = totalsOf(origin);
+		this.service -= known.service();
+		known.charged = Math.max(known.charged, row.charged());
+		known.refunded = Math.max(known.refunded, row.refunded());
+		this.service += known.service();
+		raiseLift(row.lift());
+	}
+
+	private void compute() {
+		this.virtualService = this.service * SCALE / this.weight + this.lift;
+	}
+
+	/**
+	 * What one process charged and refunded.
+	 */
+	static final class Totals {
+
+		/**
+		 * All that was charged, which only grows.
+		 */
+		private long charged;
+
+		/**
+		 * All that was refunded, which only grows.
+		 */
+		private long refunded;
+
+		long charged() {
+			return this.charged;
+		}
+
+		long refunded() {
+			return this.refunded;
+		}
+
+		private long service() {
+			return this.charged - this.refunded;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/fairness/ServiceLedger.java
@@ -0,0 +1,312 @@
+package org.ebonyford.fairness;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
+
+import org.ebonyford.identity.Incarnation;
+import org.ebonyford.identity.OrganisationId;
+import org.ebonyford.identity.VmId;
+import org.ebonyford.message.PeerMessage.Service;
+
+/**
+ * The accounts of all organisations in one pool. Every process counts what it charged and
+ * refunded in totals that only grow; totals of others merge by maximum, so that messages
+ * may come twice, late or in any order.
+ */
+public final class ServiceLedger {
+
+	/**
+	 * Orders accounts by virtual service.
+	 */
+	private static final Comparator<Account> BY_VIRTUAL_SERVICE = Comparator.comparingLong(Account::virtualService)
+		.thenComparing(Account::organisation);
+
+	/**
+	 * This process.
+	 */
+	private final Incarnation self;
+
+	/**
+	 * The milliseconds without any backlog after which an organisation counts as idle.
+	 */
+	private final long idleMillis;
+
+	/**
+	 * Creates the estimate of an organisation's costs.
+	 */
+	private final Supplier<CostEstimate> estimates;
+
+	/**
+	 * The accounts by organisation.
+	 */
+	private final Map<OrganisationId, Account> accounts = new HashMap<>();
+
+	/**
+	 * The accounts with requests that wait as far as this router knows itself.
+	 */
+	private final TreeSet<Account> waiting = new TreeSet<>(BY_VIRTUAL_SERVICE);
+
+	/**
+	 * The accounts with requests that wait anywhere in the fleet.
+	 */
+	private final TreeSet<Account> backlogged = new TreeSet<>(BY_VIRTUAL_SERVICE);
+
+	/**
+	 * The accounts that changed here since the last gossip.
+	 */
+	private final Set<Account> changed = new LinkedHashSet<>();
+
+	/**
+	 * Returns the weight of an organisation.
+	 */
+	private ToIntFunction<OrganisationId> weights = (organisation) -> 1;
+
+	/**
+	 * The largest virtual service that any account had.
+	 */
+	private long highest;
+
+	/**
+	 * The largest difference of virtual service that two waiting organisations may carry
+	 * on.
+	 */
+	private long debtCap = Long.MAX_VALUE;
+
+	/**
+	 * Whether the totals of others are known, so that lifts can be computed.
+	 */
+	private boolean informed;
+
+	/**
+	 * Creates a ledger without any service.
+	 * @param self this process
+	 * @param idleMillis the milliseconds without any backlog after which an organisation
+	 * counts as idle
+	 * @param estimates creates the estimate of an organisation's costs
+	 */
+	public ServiceLedger(Incarnation self, long idleMillis, Supplier<CostEstimate> estimates) {
+		this.self = self;
+		this.idleMillis = idleMillis;
+		this.estimates = estimates;
+	}
+
+	/**
+	 * Puts new weights in force.
+	 * @param current returns the weight of an organisation
+	 */
+	public void weights(ToIntFunction<OrganisationId> current) {
+		this.weights = current;
+		for (Account account : this.accounts.values()) {
+			update(account, () -> account.weight(current.applyAsInt(account.organisation())));
+		}
+	}
+
+	/**
+	 * Bounds the debt that an organisation carries on.
+	 * @param cost the cost at weight 1 by which two waiting organisations may differ
+	 */
+	public void debtCap(long cost) {
+		this.debtCap = cost * Account.SCALE;
+	}
+
+	/**
+	 * States that the totals of others are known.
+	 */
+	public void informed() {
+		this.informed = true;
+	}
+
+	/**
+	 * Returns the account of an organisation.
+	 * @param organisation the organisation
+	 * @return its account, a new one where there is none
+	 */
+	public Account account(OrganisationId organisation) {
+		Account account = this.accounts.get(organisation);
+		if (account == null) {
+			account = new Account(organisation, this.weights.applyAsInt(organisation), this.estimates.get());
+			this.accounts.put(organisation, account);
+		}
+		return account;
+	}
+
+	/**
+	 * Returns all accounts.
+	 * @return the accounts in no order
+	 */
+	public Collection<Account> accounts() {
+		return this.accounts.values();
+	}
+
+	/**
+	 * Charges an organisation.
+	 * @param account the organisation's account
+	 * @param cost the cost
+	 */
+	public void charge(Account account, long cost) {
+		update(account, () -> account.charge(this.self, cost));
+		this.changed.add(account);
+	}
+
+	/**
+	 * Gives back what an organisation was charged too much.
+	 * @param account the organisation's account
+	 * @param cost the cost
+	 */
+	public void refund(Account account, long cost) {
+		update(account, () -> account.refund(this.self, cost));
+		this.changed.add(account);
+	}
+
+	/**
+	 * States whether this router knows of waiting requests of an organisation.
+	 * @param now the clock reading in milliseconds
+	 * @param account the organisation's account
+	 * @param value whether requests wait
+	 */
+	public void waiting(long now, Account account, boolean value) {
+		if (account.waiting() == value) {
+			return;
+		}
+		this.changed.add(account);
+		backlog(now, account, () -> account.waiting(value));
+	}
+
+	/**
+	 * Returns the organisation that is to be served next.
+	 * @return the account with the least virtual service among those with requests that
+	 * wait as far as this router knows itself, or empty if none waits
+	 */
+	public Optional<Account> next() {
+		if (this.waiting.isEmpty()) {
+			return Optional.empty();
+		}
+		Account least = this.waiting.first();
+		long floor = this.waiting.last().virtualService() - this.debtCap;
+		while (this.informed && least.virtualService() < floor) {
+			liftTo(least, floor);
+			least = this.waiting.first();
+		}
+		return Optional.of(least);
+	}
+
+	/**
+	 * Takes in the totals of a process.
+	 * @param now the clock reading in milliseconds
+	 * @param from the VM that sent the totals
+	 * @param service the totals
+	 */
+	public void received(long now, VmId from, Service service) {
+		boolean first = from.equals(service.origin().vm());
+		for (Service.Row row : service.rows()) {
+			Account account = account(row.organisation());
+			update(account, () -> account.merge(service.origin(), row));
+			if (first) {
+				backlog(now, account, () -> account.backloggedAt(from, row.backlogged()));
+			}
+		}
+	}
+
+	/**
+	 * Forgets what a router that can't be reached knew of waiting requests.
+	 * @param now the clock reading in milliseconds
+	 * @param vm the VM of the router
+	 */
+	public void lost(long now, VmId vm) {
+		for (Account account : this.accounts.values()) {
+			backlog(now, account, () -> account.backloggedAt(vm, false));
+		}
+	}
+
+	/**
+	 * Returns this process's rows that changed since the last call.
+	 * @return the rows
+	 */
+	public List<Service.Row> drainChanges() {
+		List<Service.Row> rows = new ArrayList<>(this.changed.size());
+		for (Account account : this.changed) {
+			rows.add(row(account, account.totalsOf(this.self)));
+		}
+		this.changed.clear();
+		return rows;
+	}
+
+	/**
+	 * Returns all that is known.
+	 * @return the rows by the process that they come from
+	 */
+	public Map<Incarnation, List<Service.Row>> rows() {
+		Map<Incarnation, List<Service.Row>> rows = new HashMap<>();
+		for (Account account : this.accounts.values()) {
+			account.totals()
+				.forEach((origin, totals) -> rows.computeIfAbsent(origin, (absent) -> new ArrayList<>())
+					.add(row(account, totals)));
+		}
+		return rows;
+	}
+
+	private Service.Row row(Account account, Account.Totals totals) {
+		return new Service.Row(account.organisation(), totals.charged(), totals.refunded(), account.lift(),
+				account.waiting());
+	}
+
+	private void update(Account account, Runnable change) {
+		boolean waits = this.waiting.remove(account);
+		boolean backlog = this.backlogged.remove(account);
+		change.run();
+		if (waits) {
+			this.waiting.add(account);
+		}
+		if (backlog) {
+			this.backlogged.add(account);
+		}
+		this.highest = Math.max(this.highest, account.virtualService());
+	}
+
+	private void backlog(long now, Account account, Runnable change) {
+		boolean before = account.backlogged();
+		change.run();
+		boolean after = account.backlogged();
+		if (after && !before) {
+			arrive(now, account);
+		}
+		if (before && !after) {
+			this.backlogged.remove(account);
+			account.idleSince(now);
+		}
+		if (account.waiting()) {
+			this.waiting.add(account);
+		}
+		else {
+			this.waiting.remove(account);
+		}
+	}
+
+	private void arrive(long now, Account account) {
+		if (this.informed && account.idleFor(now, this.idleMillis)) {
+			long least = this.backlogged.isEmpty() ? this.highest : this.backlogged.first().virtualService();
+			if (account.virtualService() < least) {
+				account.raiseLift(account.lift() + least - account.virtualService());
+				this.changed.add(account);
+			}
+		}
+		this.backlogged.add(account);
+	}
+
+	private void liftTo(Account account, long virtualService) {
+		long lift = account.lift() + virtualService - account.virtualService();
+		update(account, () -> account.raiseLift(lift));
+		this.changed.add(account);
+	}
+
+}
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/warmup/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * How much work an upstream bears while it warms up.
+ */
+package org.ebonyford.warmup;
