--- a/ebonyford-router/src/main/java/org/ebonyford/router/operator/OperatorResource.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/operator/OperatorResource.java
@@ -16,6 +16,8 @@
 import jakarta.ws.rs.core.MediaType;
 import jakarta.ws.rs.core.Response;
 
+import org.ebonyford.reducer.RouterStatus;
+
 /**
  * Answers operators and the platform's balancer.
  */
--- /dev/null
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/DropwizardLauncher.java
@@ -0,0 +1,35 @@
+package org.ebonyford.router.process;
+
+import java.util.concurrent.CompletableFuture;
+
+import com.google.inject.Guice;
+
+import org.ebonyford.router.command.RouterLauncher;
+import org.ebonyford.router.settings.RouterKeys;
+import org.ebonyford.router.settings.RouterSettings;
+
+/**
+ * Runs a router in this process until the process is asked to stop.
+ */
+public enum DropwizardLauncher implements RouterLauncher {
+
+	/**
+	 * The singleton instance.
+	 */
+	INSTANCE;
+
+	@Override
+	public CompletableFuture<Void> launch(RouterSettings settings) {
+		RouterProcess process = Guice.createInjector(new RouterModule(settings)).getInstance(RouterProcess.class);
+		long timeout = settings.value(RouterKeys.Stop.NOTICE) + settings.value(RouterKeys.Stop.TIMEOUT);
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> finish(process, timeout), "stop"));
+		return process.start();
+	}
+
+	private static void finish(RouterProcess process, long timeoutMillis) {
+		process.stop();
+		process.awaitEnd(timeoutMillis);
+		Runtime.getRuntime().halt(0);
+	}
+
+}
--- a/ebonyford-router/src/main/java/org/ebonyford/router/operator/RouterStatus.java
+++ b/ebonyford/src/main/java/org/ebonyford/reducer/RouterStatus.java
@@ -1,4 +1,4 @@
-package org.ebonyford.router.operator;
+package org.ebonyford.reducer;
 
 import java.util.List;
 import java.util.Map;
