Fairness: owners estimate what the others charge between two gossips

Ruled out: gossip every 50 ms, which costs five times the messages and still leaves the herd within a period. Change: an account's place adds the unseen charges of other owners, taken as the own charges of the last 125 ms on average times the slots that others own for each own slot.

--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Announcements.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Announcements.java
@@ -30,6 +30,12 @@
 	 */
 	private long confirmAt;
 
+	/**
+	 * The clock reading in milliseconds at which the next period of the estimate of what
+	 * others charge begins.
+	 */
+	private long rollAt;
+
 	/**
 	 * The clock reading in milliseconds at which the next gossip is due.
 	 */
@@ -47,6 +53,10 @@
 	 * @return the own slots that own requests occupy, or empty if no confirmation is due
 	 */
 	Optional<Occupied> tick(long now, Outbox outbox) {
+		if (now >= this.rollAt) {
+			this.rollAt = now + this.fleet.settings().times().gossip() / 2;
+			this.fleet.pools().forEach(PoolState::roll);
+		}
 		if (now >= this.gossipAt) {
 			this.gossipAt = now + this.fleet.settings().times().gossip();
 			gossip(outbox);
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
@@ -152,6 +152,19 @@
 		this.meanCost += SHARE * (cost - this.meanCost);
 	}
 
+	/**
+	 * Begins a new period of the estimate of what other routers charge.
+	 */
+	void roll() {
+		double all = 0;
+		double own = 0;
+		for (UpstreamState upstream : this.upstreams) {
+			all += upstream.owners().length;
+			own += upstream.slots().owned();
+		}
+		this.ledger.roll((own > 0) ? all / own - 1 : 0);
+	}
+
 	/**
 	 * Adapts the debt that organisations may carry on to the average cost.
 	 * @param rounds the number of times that the debt fills all slots
--- a/ebonyford/src/main/java/org/ebonyford/fairness/Account.java
+++ b/ebonyford/src/main/java/org/ebonyford/fairness/Account.java
@@ -61,6 +61,26 @@
 	 */
 	private long virtualService;
 
+	/**
+	 * The cost that this process charged in the current period.
+	 */
+	private long recent;
+
+	/**
+	 * The cost that this process charged in the period before.
+	 */
+	private long earlier;
+
+	/**
+	 * The cost that all other processes charge for each unit that this one charges.
+	 */
+	private double others;
+
+	/**
+	 * The virtual service with the estimate of what other processes charged unseen.
+	 */
+	private double place;
+
 	/**
 	 * Whether this router knows of waiting requests.
 	 */
@@ -115,6 +135,15 @@
 		return this.virtualService;
 	}
 
+	/**
+	 * Returns the place of the organisation in the order of service.
+	 * @return the virtual service with the estimate of what other processes charged
+	 * unseen
+	 */
+	public double place() {
+		return this.place;
+	}
+
 	/**
 	 * Returns whether this router knows of waiting requests.
 	 * @return whether requests are waiting
@@ -169,16 +198,32 @@
 		compute();
 	}
 
-	void charge(Incarnation origin, long cost) {
-		totalsOf(origin).charged += cost;
+	void charge(Incarnation self, long cost) {
+		totalsOf(self).charged += cost;
 		this.service += cost;
+		this.recent += cost;
 		compute();
 	}
 
-	void refund(Incarnation origin, long cost) {
-		totalsOf(origin).refunded += cost;
+	void refund(Incarnation self, long cost) {
+		totalsOf(self).refunded += cost;
 		this.service -= cost;
+		this.recent -= cost;
+		compute();
+	}
+
+	/**
+	 * Begins a new period.
+	 * @param others the cost that all other processes charge for each unit that this one
+	 * charges
+	 * @return whether the account is still to be rolled on
+	 */
+	boolean roll(double others) {
+		this.earlier = this.recent;
+		this.recent = 0;
+		this.others = others;
 		compute();
+		return this.earlier != 0;
 	}
 
 	void merge(Incarnation origin, Service.Row row) {
@@ -192,6 +237,8 @@
 
 	private void compute() {
 		this.virtualService = this.service * SCALE / this.weight + this.lift;
+		double unseen = this.others * (this.recent + this.earlier / 2.0);
+		this.place = this.virtualService + unseen * SCALE / this.weight;
 	}
 
 	/**
--- a/ebonyford/src/main/java/org/ebonyford/fairness/ServiceLedger.java
+++ b/ebonyford/src/main/java/org/ebonyford/fairness/ServiceLedger.java
@@ -26,9 +26,9 @@
 public final class ServiceLedger {
 
 	/**
-	 * Orders accounts by virtual service.
+	 * Orders accounts by their place in the order of service.
 	 */
-	private static final Comparator<Account> BY_VIRTUAL_SERVICE = Comparator.comparingLong(Account::virtualService)
+	private static final Comparator<Account> BY_PLACE = Comparator.comparingDouble(Account::place)
 		.thenComparing(Account::organisation);
 
 	/**
@@ -54,18 +54,23 @@
 	/**
 	 * The accounts with requests that wait as far as this router knows itself.
 	 */
-	private final TreeSet<Account> waiting = new TreeSet<>(BY_VIRTUAL_SERVICE);
+	private final TreeSet<Account> waiting = new TreeSet<>(BY_PLACE);
 
 	/**
 	 * The accounts with requests that wait anywhere in the fleet.
 	 */
-	private final TreeSet<Account> backlogged = new TreeSet<>(BY_VIRTUAL_SERVICE);
+	private final TreeSet<Account> backlogged = new TreeSet<>(BY_PLACE);
 
 	/**
 	 * The accounts that changed here since the last gossip.
 	 */
 	private final Set<Account> changed = new LinkedHashSet<>();
 
+	/**
+	 * The accounts that this process charged in the current period or the one before.
+	 */
+	private Set<Account> recent = new LinkedHashSet<>();
+
 	/**
 	 * Returns the weight of an organisation.
 	 */
@@ -156,6 +161,7 @@
 	public void charge(Account account, long cost) {
 		update(account, () -> account.charge(this.self, cost));
 		this.changed.add(account);
+		this.recent.add(account);
 	}
 
 	/**
@@ -166,6 +172,26 @@
 	public void refund(Account account, long cost) {
 		update(account, () -> account.refund(this.self, cost));
 		this.changed.add(account);
+		this.recent.add(account);
+	}
+
+	/**
+	 * Begins a new period, which should last half as long as totals are gossiped apart.
+	 * What other processes charge between two gossips is estimated from what this process
+	 * charges.
+	 * @param others the cost that all other processes charge for each unit that this one
+	 * charges
+	 */
+	public void roll(double others) {
+		Set<Account> rolling = this.recent;
+		this.recent = new LinkedHashSet<>();
+		for (Account account : rolling) {
+			update(account, () -> {
+				if (account.roll(others)) {
+					this.recent.add(account);
+				}
+			});
+		}
 	}
 
 	/**
--- a/ebonyford/src/main/java/org/ebonyford/slot/SlotTable.java
+++ b/ebonyford/src/main/java/org/ebonyford/slot/SlotTable.java
@@ -39,6 +39,11 @@
 	 */
 	private final Map<GrantId, Occupant> strays = new HashMap<>();
 
+	/**
+	 * The number of own slots.
+	 */
+	private int owned;
+
 	/**
 	 * The number of requests that occupy own slots.
 	 */
@@ -73,6 +78,7 @@
 		slot.awaitedUntil = availableAt;
 		slot.state = State.AWAITED;
 		this.slots[index] = slot;
+		this.owned++;
 	}
 
 	/**
@@ -87,6 +93,7 @@
 			this.occupied--;
 		}
 		this.slots[index] = null;
+		this.owned--;
 		this.free.clear(index);
 		return occupant;
 	}
@@ -100,6 +107,14 @@
 		return index < this.slots.length && this.slots[index] != null;
 	}
 
+	/**
+	 * Returns how many slots this router owns.
+	 * @return the own slots
+	 */
+	public int owned() {
+		return this.owned;
+	}
+
 	/**
 	 * Returns a slot that may be granted.
 	 * @param limit the requests that the upstream bears at a time
