Listen with TLS from PEM files

Cause: peers take PEM files, while Dropwizard's connector wants a key store on disk, and VMs have no disks. Ruled out: asking operators for two forms of one certificate. Change: a key store in memory made from the PEM files, set on Dropwizard's connector. Conclusion: to be tried with the whole process.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/HttpServer.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/HttpServer.java
@@ -1,5 +1,6 @@
 package org.ebonyford.router.process;
 
+import java.security.KeyStore;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
@@ -24,6 +25,7 @@
 import jakarta.servlet.Servlet;
 import org.eclipse.jetty.server.NetworkConnector;
 import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.glassfish.jersey.servlet.ServletContainer;
 import org.glassfish.jersey.servlet.ServletProperties;
 
@@ -95,7 +97,7 @@
 	}
 
 	private static ConnectorFactory connector(Endpoint endpoint, int maxHeaderBytes) {
-		HttpConnectorFactory connector = endpoint.tls().map(HttpServer::secure).orElseGet(HttpConnectorFactory::new);
+		HttpConnectorFactory connector = endpoint.tls().map(SecureConnector::new).orElseGet(HttpConnectorFactory::new);
 		connector.setBindHost(endpoint.host());
 		connector.setPort(endpoint.port());
 		connector.setMaxRequestHeaderSize(DataSize.bytes(maxHeaderBytes));
@@ -105,13 +107,6 @@
 		return connector;
 	}
 
-	private static HttpConnectorFactory secure(KeyStoreFile file) {
-		HttpsConnectorFactory connector = new HttpsConnectorFactory();
-		connector.setKeyStorePath(file.path());
-		connector.setKeyStorePassword(file.password());
-		return connector;
-	}
-
 	/**
 	 * Starts to listen.
 	 * @throws Exception if a port cannot be listened on
@@ -165,19 +160,33 @@
 	 *
 	 * @param host the host
 	 * @param port the port, 0 to have the system choose one
-	 * @param tls the key store for TLS, empty to listen without
+	 * @param tls the certificate and key for TLS, empty to listen without
 	 */
-	public record Endpoint(String host, int port, Optional<KeyStoreFile> tls) {
+	public record Endpoint(String host, int port, Optional<KeyStore> tls) {
 
 	}
 
 	/**
-	 * A file with a certificate and its key.
-	 *
-	 * @param path the path of the file
-	 * @param password the password of the file
+	 * A connector that speaks TLS with a certificate from memory.
 	 */
-	public record KeyStoreFile(String path, String password) {
+	private static final class SecureConnector extends HttpsConnectorFactory {
+
+		/**
+		 * The certificate and its key.
+		 */
+		private final KeyStore identity;
+
+		SecureConnector(KeyStore identity) {
+			this.identity = identity;
+			setKeyStorePassword(PemKeyStore.PASSWORD);
+		}
+
+		@Override
+		protected SslContextFactory.Server configureSslContextFactory(SslContextFactory.Server factory) {
+			SslContextFactory.Server configured = super.configureSslContextFactory(factory);
+			configured.setKeyStore(this.identity);
+			return configured;
+		}
 
 	}
 
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/SettingsMapping.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/SettingsMapping.java
@@ -1,7 +1,9 @@
 package org.ebonyford.router.process;
 
+import java.io.IOException;
 import java.nio.file.Path;
-import java.util.Optional;
+import java.security.GeneralSecurityException;
+import java.security.KeyStore;
 
 import org.ebonyford.claim.ClaimSettings;
 import org.ebonyford.control.RefreshPolicy;
@@ -162,7 +164,16 @@
 	}
 
 	private static HttpServer.Endpoint endpoint(Listener listener) {
-		return new HttpServer.Endpoint(listener.host(), listener.port(), Optional.empty());
+		return new HttpServer.Endpoint(listener.host(), listener.port(), listener.tls().map(SettingsMapping::keyStore));
+	}
+
+	private static KeyStore keyStore(Listener.Tls tls) {
+		try {
+			return PemKeyStore.of(tls.certificate(), tls.key());
+		}
+		catch (IOException | GeneralSecurityException ex) {
+			throw new IllegalArgumentException("The certificate " + tls.certificate() + " cannot be used", ex);
+		}
 	}
 
 	private <T> T value(Setting<T> setting) {
