Add the command line and publish to the log

Cause: operators check, publish and take out with the program itself, race each other, and lose answers of the log service.

Ruled out: taking the log's answer to an append as the outcome, and taking a lost answer as a failure. The first tells a loser that it won, the second publishes twice and tells that nothing changed when something may have.

Change: ControlPublisher appends a record under a name and reads back until it is found; a record whose fate is unknown is appended again, which is safe as one record wins on each version.

Conclusion: an operator is told for certain what became of a change, or that it may still come into force.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/Main.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/Main.java
@@ -1,10 +1,34 @@
 package org.ebonyford.router;
 
+import java.net.URI;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+
+import org.ebonyford.router.command.CommandEnvironment;
+import org.ebonyford.router.command.CommandLine;
+import org.ebonyford.router.command.HttpFetcher;
+import org.ebonyford.router.command.TextFiles;
+import org.ebonyford.router.log.LogClient;
+import org.ebonyford.router.log.LogException;
+import org.ebonyford.router.settings.RouterSettingsReader;
+
 /**
  * The entry point of the program.
  */
 public final class Main {
 
+	/**
+	 * The milliseconds before a record is appended again whose fate is not known.
+	 */
+	private static final long APPEND_PAUSE_MILLIS = 250;
+
+	/**
+	 * How long a connection and an answer may take each where a command reads a document.
+	 */
+	private static final Duration HTTP_TIMEOUT = Duration.ofSeconds(3);
+
 	private Main() {
 	}
 
@@ -13,7 +37,29 @@
 	 * @param arguments the command and its options
 	 */
 	public static void main(String[] arguments) {
-		System.exit(0);
+		CommandLine line = new CommandLine(environment(), System.out, System.err);
+		System.exit(line.run(arguments).number());
+	}
+
+	private static CommandEnvironment environment() {
+		Map<String, String> variables = System.getenv();
+		return new CommandEnvironment(TextFiles.ForFileSystem.INSTANCE, RouterSettingsReader.ofProcess(),
+				(name) -> Optional.ofNullable(variables.get(name)), Main::log, new HttpFetcher(HTTP_TIMEOUT),
+				RouterLauncher.Disabled.INSTANCE, System.getProperty("user.name"), () -> UUID.randomUUID().toString(),
+				Main::pause);
+	}
+
+	private static LogClient log(URI address) {
+		throw new LogException("This program has no client for the log service at " + address, false, null);
+	}
+
+	private static void pause() {
+		try {
+			Thread.sleep(APPEND_PAUSE_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 }
