Add the experiments: fairness, traffic, moves, latency, claims

Change: `experiment` starts a site for each one, prints a table and writes JSON lines; a balancer that follows the routers' readiness; relays count the bytes between each source and target, so control traffic isn't the router's own word. Ruled out: reading traffic from the routers' metrics. Conclusion: compiles and passes the linter; 13 tests of the emulator pass.

--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/Main.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/Main.java
@@ -8,6 +8,7 @@
 import io.dropwizard.logging.common.BootstrapLogging;
 
 import org.ebonyford.emulator.demo.DemoCommand;
+import org.ebonyford.emulator.experiment.ExperimentCommand;
 import org.ebonyford.emulator.standin.StandInCommand;
 
 /**
@@ -48,7 +49,7 @@
 		CliBuilder<Runnable> builder = Cli.<Runnable>builder("ebonyford-emulator")
 			.withDescription("Stand-ins for the platform and the upstreams, with a load and experiment tool")
 			.withDefaultCommand(Help.class)
-			.withCommands(Help.class, StandInCommand.class, DemoCommand.class);
+			.withCommands(Help.class, StandInCommand.class, DemoCommand.class, ExperimentCommand.class);
 		return builder.build();
 	}
 
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/load/Load.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/load/Load.java
@@ -80,26 +80,26 @@
 	/**
 	 * Sends requests at times that do not depend on the answers.
 	 * @param perSecond the requests a second on average
-	 * @param routes the routes, one of which is drawn for each request
+	 * @param balancer chooses the route of each request
 	 * @param specs makes a request out of its number
 	 * @return this load
 	 */
-	public Load rate(double perSecond, List<Route> routes, LongFunction<CallSpec> specs) {
-		scheduleNext(new Random(nextSeed()), perSecond, routes, specs, System.nanoTime());
+	public Load rate(double perSecond, Balancer balancer, LongFunction<CallSpec> specs) {
+		scheduleNext(new Random(nextSeed()), perSecond, balancer, specs, System.nanoTime());
 		return this;
 	}
 
 	/**
 	 * Keeps a number of requests open at any time.
 	 * @param outstanding the number of requests
-	 * @param routes the routes, one of which is drawn for each request
+	 * @param balancer chooses the route of each request
 	 * @param specs makes a request out of its number
 	 * @return this load
 	 */
-	public Load backlog(int outstanding, List<Route> routes, LongFunction<CallSpec> specs) {
+	public Load backlog(int outstanding, Balancer balancer, LongFunction<CallSpec> specs) {
 		Random draw = new Random(nextSeed());
 		for (int index = 0; index < outstanding; index++) {
-			keepOpen(draw, routes, specs);
+			keepOpen(draw, balancer, specs);
 		}
 		return this;
 	}
@@ -174,7 +174,7 @@
 		return this.random.nextLong();
 	}
 
-	private void scheduleNext(Random draw, double perSecond, List<Route> routes, LongFunction<CallSpec> specs,
+	private void scheduleNext(Random draw, double perSecond, Balancer balancer, LongFunction<CallSpec> specs,
 			long last) {
 		long gap = (long) (-Math.log(1 - draw.nextDouble()) / perSecond * TimeUnit.SECONDS.toNanos(1));
 		long next = last + gap;
@@ -182,23 +182,23 @@
 			if (this.stopped) {
 				return;
 			}
-			send(routes.get(draw.nextInt(routes.size())), specs.apply(this.sequence.incrementAndGet()));
-			scheduleNext(draw, perSecond, routes, specs, next);
+			send(balancer.next(draw), specs.apply(this.sequence.incrementAndGet()));
+			scheduleNext(draw, perSecond, balancer, specs, next);
 		}, Math.max(0, next - System.nanoTime()), TimeUnit.NANOSECONDS);
 	}
 
-	private void keepOpen(Random draw, List<Route> routes, LongFunction<CallSpec> specs) {
+	private void keepOpen(Random draw, Balancer balancer, LongFunction<CallSpec> specs) {
 		if (this.stopped) {
 			return;
 		}
 		Route route;
 		synchronized (draw) {
-			route = routes.get(draw.nextInt(routes.size()));
+			route = balancer.next(draw);
 		}
 		send(route, specs.apply(this.sequence.incrementAndGet())).thenAccept((verdict) -> {
 			long pause = verdict.completed() ? 0 : verdict.retryAfterMillis().orElse(REFUSED_PAUSE_MILLIS);
 			if (!this.stopped) {
-				this.scheduler.schedule(() -> keepOpen(draw, routes, specs), pause, TimeUnit.MILLISECONDS);
+				this.scheduler.schedule(() -> keepOpen(draw, balancer, specs), pause, TimeUnit.MILLISECONDS);
 			}
 		});
 	}
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/relay/Network.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/relay/Network.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.BiPredicate;
 
 /**
  * Relays in front of all places that connections go to. A cut lets connections stand as a
@@ -52,6 +53,11 @@
 	 */
 	private final Set<Tunnel> tunnels = new HashSet<>();
 
+	/**
+	 * The bytes that passed between a source and a target, in both directions.
+	 */
+	private final Map<Cut, Long> bytes = new ConcurrentHashMap<>();
+
 	/**
 	 * Whether the network is closed.
 	 */
@@ -131,6 +137,19 @@
 		execute(this::refresh);
 	}
 
+	/**
+	 * Returns the bytes that passed between some sources and targets.
+	 * @param counted tells whether the bytes between a source and a target count
+	 * @return the bytes in both directions
+	 */
+	public long bytes(BiPredicate<String, String> counted) {
+		return this.bytes.entrySet()
+			.stream()
+			.filter((entry) -> counted.test(entry.getKey().source(), entry.getKey().target()))
+			.mapToLong(Map.Entry::getValue)
+			.sum();
+	}
+
 	@Override
 	public void close() {
 		this.closed = true;
@@ -192,7 +211,9 @@
 				.of((InetSocketAddress) client.getRemoteAddress(), (InetSocketAddress) client.getLocalAddress())
 				.orElse("");
 			SocketChannel behind = SocketChannel.open(address(this.targets.get(target)));
-			Tunnel tunnel = new Tunnel(new Cut(source, target), client, behind, this.selector);
+			Cut ends = new Cut(source, target);
+			Tunnel tunnel = new Tunnel(ends, client, behind, this.selector,
+					(passed) -> this.bytes.merge(ends, passed, Long::sum));
 			this.tunnels.add(tunnel);
 			tunnel.hold(this.cuts.contains(tunnel.ends()));
 		}
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/relay/Tunnel.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/relay/Tunnel.java
@@ -6,6 +6,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
+import java.util.function.LongConsumer;
 
 /**
  * One connection through a relay. It belongs to the thread of its network.
@@ -57,7 +58,8 @@
 	 */
 	private boolean held;
 
-	Tunnel(Network.Cut ends, SocketChannel client, SocketChannel target, Selector selector) throws IOException {
+	Tunnel(Network.Cut ends, SocketChannel client, SocketChannel target, Selector selector, LongConsumer counter)
+			throws IOException {
 		this.ends = ends;
 		this.client = client;
 		this.target = target;
@@ -67,8 +69,8 @@
 		}
 		this.clientKey = client.register(selector, 0, this);
 		this.targetKey = target.register(selector, 0, this);
-		this.up = new Direction(client, target);
-		this.down = new Direction(target, client);
+		this.up = new Direction(client, target, counter);
+		this.down = new Direction(target, client, counter);
 	}
 
 	/**
@@ -167,6 +169,11 @@
 		 */
 		private final SocketChannel to;
 
+		/**
+		 * Counts the bytes that pass.
+		 */
+		private final LongConsumer counter;
+
 		/**
 		 * The bytes that wait, ready to be filled.
 		 */
@@ -182,8 +189,9 @@
 		 */
 		private boolean shut;
 
-		private Direction(SocketChannel from, SocketChannel to) {
+		private Direction(SocketChannel from, SocketChannel to, LongConsumer counter) {
 			this.from = from;
+			this.counter = counter;
 			this.to = to;
 		}
 
@@ -193,7 +201,7 @@
 			}
 			this.waiting.flip();
 			if (this.waiting.hasRemaining()) {
-				this.to.write(this.waiting);
+				this.counter.accept(this.to.write(this.waiting));
 			}
 			this.waiting.compact();
 			if (this.exhausted && !this.shut && this.waiting.position() == 0) {
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/Site.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/Site.java
@@ -6,9 +6,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
@@ -304,6 +306,18 @@
 		}
 	}
 
+	/**
+	 * Returns the bytes that a router exchanged with other routers and with the platform.
+	 * @param router the router
+	 * @return the bytes in both directions
+	 */
+	public long controlBytes(Router router) {
+		Set<String> control = new HashSet<>(this.routers.keySet());
+		control.addAll(List.of(StandIns.LOG, StandIns.VMS));
+		return this.network.bytes((source, target) -> target.equals(router.vm())
+				|| (source.equals(router.vm()) && control.contains(target)));
+	}
+
 	/**
 	 * Heals all cuts.
 	 */
--- a/ebonyford-emulator/src/test/java/org/ebonyford/emulator/load/LoadTest.java
+++ b/ebonyford-emulator/src/test/java/org/ebonyford/emulator/load/LoadTest.java
@@ -4,6 +4,7 @@
 
 import org.testng.annotations.Test;
 
+import org.ebonyford.emulator.process.Await;
 import org.ebonyford.emulator.site.Deployment;
 import org.ebonyford.emulator.truth.Truth;
 import org.ebonyford.emulator.upstream.ServiceStandIn;
@@ -22,11 +23,10 @@
 		Deployment.Organisation organisation = new Deployment.Organisation("paws", "small");
 		try (ServiceStandIn service = new ServiceStandIn(UpstreamSettings.service("booking-core-1").limits(500, 500));
 				Load load = new Load(20261203)) {
-			List<Route> routes = List.of(Route.direct(service.address()));
+			Balancer routes = new Balancer.OfAll(List.of(Route.direct(service.address())));
 			load.rate(100, routes, (number) -> CallSpec.call(organisation, "booking-core", "/quotes", "q" + number))
 				.backlog(4, routes, (number) -> CallSpec.call(organisation, "booking-core", "/visits", "v" + number));
-			org.ebonyford.emulator.process.Await.until("some answers", 30,
-					() -> load.report().count(Verdict.Result.COMPLETED) > 200);
+			Await.until("some answers", 30, () -> load.report().count(Verdict.Result.COMPLETED) > 200);
 			Report report = load.stop();
 			Truth truth = (Truth) service.truth(true);
 			assertEquals(report.count(Verdict.Result.COMPLETED), truth.completed());
