Claim idempotency keys in the log, so that a request runs at most once

Cause: a request that may not be repeated can reach several routers, and a router can die, stand still or lose the answer of an append at any step.

Ruled out: sending once the append was answered, without reading the log up to the claim (two routers then hold one key); keeping a claim alive whose request was refused as not run; letting "unknown" free a key.

Statements are restated before the log removes them.

Not told apart by these storms, so still without proof: the release of a claim that shows up late, the confirmation after a pause, the settling after a shortened log.

--- a/ebonyford/src/main/java/org/ebonyford/claim/ClaimRecord.java
+++ b/ebonyford/src/main/java/org/ebonyford/claim/ClaimRecord.java
@@ -34,6 +34,27 @@
 		Objects.requireNonNull(answer, "answer");
 	}
 
+	/**
+	 * Creates another statement about the same claim.
+	 * @param statement what is stated
+	 * @param kept the answer to keep, if there is one
+	 * @return the statement
+	 */
+	public ClaimRecord ended(Kind statement, Optional<StoredAnswer> kept) {
+		return new ClaimRecord(statement, this.claimId, this.organisation, this.key, this.fingerprint, this.holder,
+				this.createdAt, kept);
+	}
+
+	/**
+	 * Creates the same claim anew, to have its place in the log confirmed.
+	 * @param time the wall-clock time in milliseconds since the epoch
+	 * @return the claim
+	 */
+	public ClaimRecord renewed(long time) {
+		return new ClaimRecord(Kind.CLAIM, this.claimId, this.organisation, this.key, this.fingerprint, this.holder,
+				time, Optional.empty());
+	}
+
 	/**
 	 * What a record states.
 	 */
--- /dev/null
+++ b/ebonyford/src/test/java/org/ebonyford/claim/ClaimsTest.java
@@ -0,0 +1,155 @@
+package org.ebonyford.claim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.Collectors;
+
+import org.testng.annotations.Test;
+
+import org.ebonyford.effect.Effect;
+import org.ebonyford.identity.RequestId;
+import org.ebonyford.request.Ending;
+import org.ebonyford.request.Request;
+
+import static org.quicktheories.QuickTheory.qt;
+import static org.quicktheories.generators.SourceDSL.longs;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests {@link Claims}.
+ */
+public class ClaimsTest {
+
+	private static final long DISPATCH_MILLIS = 2_000;
+
+	@Test
+	public void testKeyRunsAtMostOnceUnderAnyFaults() {
+		qt().withExamples(1_000).forAll(longs().all()).check((seed) -> {
+			storm(seed, 400, 40);
+			return true;
+		});
+	}
+
+	@Test
+	public void testKeyRunsAtMostOnceWhileTheLogRemovesRecords() {
+		qt().withExamples(200).forAll(longs().all()).check((seed) -> {
+			storm(seed, 3_000, 250);
+			return true;
+		});
+	}
+
+	@Test
+	public void testRepeatGetsTheFirstAnswer() {
+		ClaimFleet fleet = ready(2);
+		Request first = fleet.nodes.get(0).begin("k", "f");
+		fleet.heal(2);
+		fleet.nodes.get(0).send(first.id());
+		fleet.nodes.get(0).end(first.id(), Ending.COMPLETED, true);
+		fleet.heal(2);
+		Request repeat = fleet.nodes.get(1).begin("k", "f");
+		assertEquals(((Effect.Replay) fleet.ledger.answers.get(repeat.id())).answer().body(), first.id().value());
+	}
+
+	private static ClaimFleet ready(int size) {
+		ClaimFleet fleet = new ClaimFleet(size);
+		fleet.heal(2);
+		fleet.nodes.forEach((node) -> assertTrue(node.claims.complete()));
+		return fleet;
+	}
+
+	private static void storm(long seed, int steps, int maxStepMillis) {
+		Random random = new Random(seed);
+		ClaimFleet fleet = ready(2 + random.nextInt(3));
+		for (int step = 0; step < steps; step++) {
+			step(fleet, random, maxStepMillis);
+		}
+		fleet.heal(60);
+		for (ClaimFleet.Node node : fleet.nodes) {
+			List.copyOf(node.ready.keySet()).forEach(node::abandon);
+			List.copyOf(node.running.keySet()).forEach((id) -> node.end(id, Ending.BROKEN, true));
+		}
+		fleet.heal(60);
+		fleet.ledger.check(ClaimFleet.SETTINGS.windowMillis() - DISPATCH_MILLIS);
+		fleet.ledger.checkNoneLost();
+		List<Map<ClaimKey, String>> folds = fleet.nodes.stream().map((node) -> fold(fleet, node)).toList();
+		folds.forEach((fold) -> assertEquals(fold, folds.get(0)));
+		fleet.nodes.forEach((node) -> assertEquals(node.claims.attempts() + node.claims.waiting(), 0));
+	}
+
+	private static Map<ClaimKey, String> fold(ClaimFleet fleet, ClaimFleet.Node node) {
+		long window = ClaimFleet.SETTINGS.windowMillis() - ClaimFleet.SETTINGS.graceMillis();
+		return node.claims.table()
+			.entries()
+			.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getValue().expiredAt(fleet.time, window))
+			.collect(Collectors.toMap(Map.Entry::getKey, (entry) -> {
+				ClaimRecord statement = entry.getValue().statement();
+				return statement.kind() + " " + statement.claimId();
+			}));
+	}
+
+	private static void step(ClaimFleet fleet, Random random, int maxStepMillis) {
+		ClaimFleet.Node node = fleet.nodes.get(random.nextInt(fleet.nodes.size()));
+		int lot = random.nextInt(1_000);
+		fleet.pass(random.nextInt(maxStepMillis));
+		if (lot < 10) {
+			fleet.log.reachable = !fleet.log.reachable && random.nextInt(2) == 0 || lot < 5;
+		}
+		else if (lot < 250) {
+			fleet.landAny(random);
+		}
+		else if (lot < 350) {
+			fleet.deliverAny(random);
+		}
+		else if (lot < 358) {
+			node.restart(random.nextBoolean());
+		}
+		else if (lot < 362) {
+			node.left(fleet.nodes.get(random.nextInt(fleet.nodes.size())).vm);
+		}
+		else if (node.paused) {
+			if (lot < 500) {
+				node.resume();
+			}
+		}
+		else {
+			act(node, random, lot);
+		}
+	}
+
+	private static void act(ClaimFleet.Node node, Random random, int lot) {
+		if (lot < 370) {
+			node.pause();
+		}
+		else if (lot < 470) {
+			node.begin("k" + random.nextInt(4), "f" + ((random.nextInt(20) == 0) ? 1 : 0));
+		}
+		else if (lot < 800) {
+			node.read(1 + random.nextInt(3));
+		}
+		else if (lot < 900 && !node.ready.isEmpty()) {
+			node.send(any(node.ready, random));
+		}
+		else if (lot < 980 && !node.running.isEmpty()) {
+			Ending ending = Ending.values()[random.nextInt(Ending.values().length)];
+			boolean ran = switch (ending) {
+				case COMPLETED -> true;
+				case NOT_SENT, DECLINED -> false;
+				case BROKEN, CANCELLED -> random.nextBoolean();
+			};
+			node.end(any(node.running, random), ending, ran);
+		}
+		else if (lot >= 980 && !node.ready.isEmpty()) {
+			node.abandon(any(node.ready, random));
+		}
+	}
+
+	private static RequestId any(Map<RequestId, Request> requests, Random random) {
+		return new ArrayList<>(requests.keySet()).get(random.nextInt(requests.size()));
+	}
+
+}
