Run the router: the launcher, the log client and the reducer in one process

Cause: the parts had landed, the process had not. Change: Main starts the process; names that the checks asked for.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/Main.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/Main.java
@@ -11,7 +11,9 @@
 import org.ebonyford.router.command.HttpFetcher;
 import org.ebonyford.router.command.TextFiles;
 import org.ebonyford.router.log.LogClient;
-import org.ebonyford.router.log.LogException;
+import org.ebonyford.router.log.HttpLogClient;
+import org.ebonyford.router.log.LogTimeouts;
+import org.ebonyford.router.process.DropwizardLauncher;
 import org.ebonyford.router.settings.RouterSettingsReader;
 
 /**
@@ -45,12 +47,12 @@
 		Map<String, String> variables = System.getenv();
 		return new CommandEnvironment(TextFiles.ForFileSystem.INSTANCE, RouterSettingsReader.ofProcess(),
 				(name) -> Optional.ofNullable(variables.get(name)), Main::log, new HttpFetcher(HTTP_TIMEOUT),
-				RouterLauncher.Disabled.INSTANCE, System.getProperty("user.name"), () -> UUID.randomUUID().toString(),
+				DropwizardLauncher.INSTANCE, System.getProperty("user.name"), () -> UUID.randomUUID().toString(),
 				Main::pause);
 	}
 
 	private static LogClient log(URI address) {
-		throw new LogException("This program has no client for the log service at " + address, false, null);
+		return HttpLogClient.of(address, LogTimeouts.DEFAULT);
 	}
 
 	private static void pause() {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/ControlAppender.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/ControlAppender.java
@@ -41,11 +41,10 @@
 	@Override
 	public void handle(Effect effect) {
 		if (effect instanceof Effect.AppendControl append) {
-			this.client.append(LogStreams.CONTROL, this.codec.encode(append.record()))
-				.exceptionally((ex) -> {
-					logger.atFine().withCause(ex).log("A control state could not be appended anew");
-					return null;
-				});
+			this.client.append(LogStreams.CONTROL, this.codec.encode(append.record())).exceptionally((ex) -> {
+				logger.atFine().withCause(ex).log("A control state could not be appended anew");
+				return null;
+			});
 		}
 	}
 
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/DropwizardLauncher.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/DropwizardLauncher.java
@@ -4,7 +4,7 @@
 
 import com.google.inject.Guice;
 
-import org.ebonyford.router.command.RouterLauncher;
+import org.ebonyford.router.RouterLauncher;
 import org.ebonyford.router.settings.RouterKeys;
 import org.ebonyford.router.settings.RouterSettings;
 
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/HttpServer.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/HttpServer.java
@@ -97,7 +97,9 @@
 	}
 
 	private static ConnectorFactory connector(Endpoint endpoint, int maxHeaderBytes) {
-		HttpConnectorFactory connector = endpoint.tls().map(SecureConnector::new).orElseGet(HttpConnectorFactory::new);
+		HttpConnectorFactory connector = endpoint.tls()
+			.<HttpConnectorFactory>map(SecureConnector::new)
+			.orElseGet(HttpConnectorFactory::new);
 		connector.setBindHost(endpoint.host());
 		connector.setPort(endpoint.port());
 		connector.setMaxRequestHeaderSize(DataSize.bytes(maxHeaderBytes));
@@ -182,7 +184,7 @@
 		}
 
 		@Override
-		protected SslContextFactory.Server configureSslContextFactory(SslContextFactory.Server factory) {
+		protected SslContextFactory.Server configureSslContextFactory(SslContextFactory factory) {
 			SslContextFactory.Server configured = super.configureSslContextFactory(factory);
 			configured.setKeyStore(this.identity);
 			return configured;
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/RouterModule.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/RouterModule.java
@@ -97,8 +97,7 @@
 		bind(MetricRegistry.class).toInstance(new MetricRegistry());
 		bind(EventSink.class).toInstance((event) -> this.loop.get().accept(event));
 		bind(RouterProcess.Exit.class).toInstance(new RouterProcess.Exit(new CompletableFuture<>()));
-		bind(Incarnation.class)
-			.toInstance(new Incarnation(this.settings.vm(), Clock.ForEpoch.INSTANCE.millis()));
+		bind(Incarnation.class).toInstance(new Incarnation(this.settings.vm(), Clock.ForEpoch.INSTANCE.millis()));
 		bind(ControlRecordCodec.class).toInstance(new ControlRecordCodec());
 	}
 
@@ -121,7 +120,10 @@
 	@Provides
 	@Singleton
 	CloseableHttpAsyncClient platformClient() {
-		CloseableHttpAsyncClient client = HttpAsyncClients.custom().disableAutomaticRetries().disableCookieManagement().build();
+		CloseableHttpAsyncClient client = HttpAsyncClients.custom()
+			.disableAutomaticRetries()
+			.disableCookieManagement()
+			.build();
 		client.start();
 		return client;
 	}
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/RouterProcess.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/RouterProcess.java
@@ -96,8 +96,8 @@
 	 * @param platform the connections to the platform
 	 */
 	@Inject
-	RouterProcess(EventLoop loop, HttpServer http, PeerServer peers, VmListPoller list, LoadPoller load,
-			LogReaders log, ScheduledExecutorService scheduler, Clock clock, Exit exit, HttpLogClient logClient,
+	RouterProcess(EventLoop loop, HttpServer http, PeerServer peers, VmListPoller list, LoadPoller load, LogReaders log,
+			ScheduledExecutorService scheduler, Clock clock, Exit exit, HttpLogClient logClient,
 			UpstreamConnections upstreams, CloseableHttpAsyncClient platform) {
 		this.loop = loop;
 		this.http = http;
--- a/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
+++ b/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
@@ -51,8 +51,9 @@
 import org.ebonyford.topology.TopologyBuilder;
 
 /**
- * Applies events to the state of one router and tells what is to be done. It has no thread, clock, input or output of
- * its own, so that the same events always give the same effects.
+ * Applies events to the state of one router and tells what is to be done. It has no
+ * thread, clock, input or output of its own, so that the same events always give the same
+ * effects.
  */
 public final class Reducer implements Function<Event, List<Effect>> {
 
@@ -162,7 +163,8 @@
 	private final Outbox outbox = new Outbox();
 
 	/**
-	 * The fleet as this router sees it, {@code null} until a configuration and a list are there.
+	 * The fleet as this router sees it, {@code null} until a configuration and a list are
+	 * there.
 	 */
 	private Topology topology;
 
@@ -192,7 +194,8 @@
 		this.dispatch = new Dispatch(settings.dispatch(), self);
 		this.claims = new Claims(settings.claims(), self, new Holding());
 		this.suspects = new Suspects(settings.suspects());
-		this.control = new ControlLog(self, new ConfigurationReader(), settings.refresh(), appends::incrementAndGet);
+		this.control = new ControlLog(self, ConfigurationReader.ForIni.INSTANCE, settings.refresh(),
+				appends::incrementAndGet);
 		this.peers = new Peers(self.vm(), settings.peerTimes(), settings.audience());
 		this.lifecycle = new Lifecycle(settings.noticeMillis());
 	}
@@ -266,8 +269,8 @@
 			reachable(CLAIMS_STREAM);
 			this.claims.read(read, this.outbox);
 		}
-		else if (event instanceof Event.LogUnreachable unreachable) {
-			logUnreachable(unreachable);
+		else if (event instanceof Event.LogUnreachable outage) {
+			logUnreachable(outage);
 		}
 		else if (event instanceof Event.AppendEnded ended) {
 			this.claims.appendEnded(ended.at(), ended.append(), ended.result(), this.outbox);
@@ -321,13 +324,12 @@
 	}
 
 	private boolean outOfService(ControlState state) {
-		return state.vmsOut().contains(this.self.vm())
-				|| state.dataCentresOut().contains(this.topologies.dataCentre());
+		return state.vmsOut().contains(this.self.vm()) || state.dataCentresOut().contains(this.topologies.dataCentre());
 	}
 
 	private boolean idle() {
-		return this.requests.isEmpty() && this.exchanges.isEmpty() && this.dispatch.idle()
-				&& this.claims.pending() == 0 && this.claims.backlog() == 0;
+		return this.requests.isEmpty() && this.exchanges.isEmpty() && this.dispatch.idle() && this.claims.pending() == 0
+				&& this.claims.backlog() == 0;
 	}
 
 	private void arrived(long now, Request request) {
@@ -486,8 +488,7 @@
 	private void compare(VmId from, Knowledge theirs) {
 		Knowledge ours = knowledge();
 		if (theirs.exceeds(ours)) {
-			this.outbox.add(new Effect.ToPeer(from,
-					new PeerMessage.Fetch(ours.controlVersion(), ours.listRevision())));
+			this.outbox.add(new Effect.ToPeer(from, new PeerMessage.Fetch(ours.controlVersion(), ours.listRevision())));
 		}
 	}
 
@@ -515,8 +516,10 @@
 			.stream()
 			.collect(Collectors.toMap(VmEntry::vm, VmEntry::address, (first, second) -> second));
 		this.peers.listed(addresses, this.outbox);
-		this.suspects.peers(addresses.keySet().stream().filter((vm) -> !vm.equals(this.self.vm())).collect(
-				Collectors.toUnmodifiableSet()));
+		this.suspects.peers(addresses.keySet()
+			.stream()
+			.filter((vm) -> !vm.equals(this.self.vm()))
+			.collect(Collectors.toUnmodifiableSet()));
 		before.stream()
 			.filter((vm) -> !addresses.containsKey(vm))
 			.forEach((vm) -> this.claims.vmLeft(now, vm, this.outbox));
@@ -537,8 +540,8 @@
 		if (this.control.current().isEmpty() || this.members.list().isEmpty()) {
 			return;
 		}
-		this.topology = this.topologies.build(this.control.configuration().orElseThrow(),
-				this.control.current().get(), this.members, Set.copyOf(this.leaving));
+		this.topology = this.topologies.build(this.control.configuration().orElseThrow(), this.control.current().get(),
+				this.members, Set.copyOf(this.leaving));
 		this.outbox.add(new Effect.WatchUpstreams(watched()));
 		this.dispatch.topology(now, this.topology, this.outbox);
 	}
