--- a/ebonyford/src/test/java/org/ebonyford/claim/ClaimFleet.java
+++ b/ebonyford/src/test/java/org/ebonyford/claim/ClaimFleet.java
@@ -31,8 +31,6 @@
 	static final ClaimSettings SETTINGS = new ClaimSettings(60_000, 2_000, 20_000, 1_000, 1_000, 50, 20, 65_536, 300,
 			20, 100, 2_000, 100, 10_000, 10_000, 100, 1_000_000);
 
-	static final long MAX_OUTAGE_MILLIS = 5_000;
-
 	private static final long MAX_LATE_MILLIS = 1_000;
 
 	final FakeLog log = new FakeLog(SETTINGS.retentionMillis());
@@ -49,6 +47,8 @@
 
 	private long reachableAt = this.time;
 
+	long maxOutage = 5_000;
+
 	private int requests;
 
 	ClaimFleet(int size) {
@@ -61,7 +61,7 @@
 	void pass(long millis) {
 		this.time += millis;
 		this.reachableAt = this.log.reachable ? this.time : this.reachableAt;
-		this.log.reachable |= this.time > this.reachableAt + MAX_OUTAGE_MILLIS;
+		this.log.reachable |= this.time > this.reachableAt + this.maxOutage;
 		this.flights.removeIf((flight) -> flight.reported && flight.startedAt < this.time - MAX_LATE_MILLIS);
 		this.log.trim(this.time);
 		this.nodes.stream().filter((node) -> !node.paused).forEach(Node::tick);
@@ -73,10 +73,8 @@
 		this.nodes.stream().filter((node) -> node.paused).forEach(Node::resume);
 		for (int round = 0; round < rounds; round++) {
 			pass(60);
-			List.copyOf(this.flights).forEach((flight) -> land(flight, Result.APPENDED, true));
-			while (!this.messages.isEmpty()) {
-				this.messages.remove(0).deliver();
-			}
+			landAll(Result.APPENDED, true);
+			deliverAll();
 			this.nodes.forEach((node) -> node.read(1_000));
 		}
 	}
@@ -86,6 +84,10 @@
 				new RequestClass("c"), 1, deadline, Optional.of(new IdempotencyKey(key)), new Fingerprint(content));
 	}
 
+	void landAll(Result result, boolean effect) {
+		List.copyOf(this.flights).forEach((flight) -> land(flight, result, effect));
+	}
+
 	void landAny(Random random) {
 		if (!this.flights.isEmpty()) {
 			Flight flight = this.flights.get(random.nextInt(this.flights.size()));
@@ -117,6 +119,12 @@
 		}
 	}
 
+	void deliverAll() {
+		while (!this.messages.isEmpty()) {
+			this.messages.remove(0).deliver();
+		}
+	}
+
 	void deliverAny(Random random) {
 		if (!this.messages.isEmpty()) {
 			Delivery delivery = this.messages.remove(random.nextInt(this.messages.size()));
--- a/ebonyford/src/test/java/org/ebonyford/claim/ClaimsTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/claim/ClaimsTest.java
@@ -4,18 +4,24 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 import org.testng.annotations.Test;
 
 import org.ebonyford.effect.Effect;
+import org.ebonyford.event.Event.AppendEnded.Result;
 import org.ebonyford.identity.RequestId;
 import org.ebonyford.request.Ending;
+import org.ebonyford.request.Outcome;
+import org.ebonyford.request.Refusal;
+import org.ebonyford.request.RefusalReason;
 import org.ebonyford.request.Request;
 
 import static org.quicktheories.QuickTheory.qt;
 import static org.quicktheories.generators.SourceDSL.longs;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -44,13 +50,129 @@
 	@Test
 	public void testRepeatGetsTheFirstAnswer() {
 		ClaimFleet fleet = ready(2);
-		Request first = fleet.nodes.get(0).begin("k", "f");
+		Request first = running(fleet);
+		fleet.nodes.get(0).end(first.id(), Ending.COMPLETED, true);
 		fleet.heal(2);
-		fleet.nodes.get(0).send(first.id());
+		assertEquals(replayed(fleet, fleet.nodes.get(1).begin("k", "f")), first.id().value());
+	}
+
+	@Test
+	public void testRepeatDuringTheRunWaitsForItsAnswer() {
+		ClaimFleet fleet = ready(2);
+		Request first = running(fleet);
+		Request repeat = fleet.nodes.get(1).begin("k", "f");
+		fleet.heal(2);
+		assertFalse(fleet.ledger.answers.containsKey(repeat.id()));
 		fleet.nodes.get(0).end(first.id(), Ending.COMPLETED, true);
 		fleet.heal(2);
+		assertEquals(replayed(fleet, repeat), first.id().value());
+	}
+
+	@Test
+	public void testHolderAnswersRepeatsWhileTheLogIsOutOfReach() {
+		ClaimFleet fleet = ready(2);
+		Request first = running(fleet);
 		Request repeat = fleet.nodes.get(1).begin("k", "f");
-		assertEquals(((Effect.Replay) fleet.ledger.answers.get(repeat.id())).answer().body(), first.id().value());
+		fleet.log.reachable = false;
+		fleet.nodes.get(0).end(first.id(), Ending.COMPLETED, true);
+		fleet.pass(200);
+		fleet.deliverAll();
+		assertEquals(replayed(fleet, repeat), first.id().value());
+	}
+
+	@Test
+	public void testAnotherRequestUnderTheSameKeyIsRefused() {
+		ClaimFleet fleet = ready(2);
+		running(fleet);
+		assertRefused(fleet, fleet.nodes.get(1).begin("k", "other"), RefusalReason.KEY_MISMATCH, Outcome.NOT_RUN);
+	}
+
+	@Test
+	public void testRepeatOfAClaimWhoseVmLeftIsUnknownAtOnce() {
+		ClaimFleet fleet = ready(2);
+		running(fleet);
+		fleet.nodes.get(1).left(fleet.nodes.get(0).vm);
+		assertRefused(fleet, fleet.nodes.get(1).begin("k", "f"), RefusalReason.KEY_UNKNOWN, Outcome.UNKNOWN);
+	}
+
+	@Test
+	public void testRouterThatHasNotReadTheWindowRefuses() {
+		ClaimFleet fleet = new ClaimFleet(1);
+		assertRefused(fleet, fleet.nodes.get(0).begin("k", "f"), RefusalReason.CLAIMS_INCOMPLETE, Outcome.NOT_RUN);
+	}
+
+	@Test
+	public void testClaimThatShowsUpAfterItsRefusalIsReleased() {
+		ClaimFleet fleet = ready(2);
+		Request late = fleet.nodes.get(0).begin("k", "f");
+		fleet.pass(ClaimFleet.SETTINGS.patienceMillis());
+		assertRefused(fleet, late, RefusalReason.LOG_UNAVAILABLE, Outcome.NOT_RUN);
+		fleet.heal(3);
+		Request second = fleet.nodes.get(1).begin("k", "f");
+		fleet.heal(1);
+		assertEquals(fleet.nodes.get(1).ready.keySet(), Set.of(second.id()));
+		assertTrue(fleet.nodes.get(0).ready.isEmpty());
+	}
+
+	@Test
+	public void testPausedHolderOfAForgottenKeyDoesNotSend() {
+		ClaimFleet fleet = ready(2);
+		Request first = fleet.nodes.get(0).begin("k", "f");
+		fleet.heal(1);
+		fleet.nodes.get(0).pause();
+		fleet.nodes.get(1).left(fleet.nodes.get(0).vm);
+		fleet.nodes.get(1).begin("k", "f");
+		for (int step = 0; step < 700; step++) {
+			fleet.pass(100);
+			fleet.landAll(Result.APPENDED, true);
+			fleet.nodes.get(1).read(100);
+		}
+		fleet.nodes.get(1).begin("k", "f");
+		fleet.landAll(Result.APPENDED, true);
+		fleet.nodes.get(1).read(100);
+		assertEquals(fleet.nodes.get(1).ready.size(), 1);
+		fleet.nodes.get(0).resume();
+		assertFalse(fleet.nodes.get(0).claims.maySend(first.id()));
+		fleet.heal(2);
+		assertFalse(fleet.nodes.get(0).claims.maySend(first.id()));
+	}
+
+	@Test
+	public void testRouterThatStartsAfterALongOutageLearnsWhatRanBefore() {
+		ClaimFleet fleet = ready(2);
+		Request first = running(fleet);
+		fleet.nodes.get(0).end(first.id(), Ending.COMPLETED, true);
+		fleet.heal(2);
+		fleet.maxOutage = 2 * ClaimFleet.SETTINGS.retentionMillis();
+		fleet.log.reachable = false;
+		for (long passed = 0; passed < fleet.maxOutage; passed += 100) {
+			fleet.pass(100);
+			fleet.landAll(Result.FAILED, false);
+		}
+		fleet.nodes.get(1).restart(false);
+		fleet.log.reachable = true;
+		fleet.nodes.get(1).read(100);
+		Request early = fleet.nodes.get(1).begin("k", "f");
+		assertRefused(fleet, early, RefusalReason.CLAIMS_INCOMPLETE, Outcome.NOT_RUN);
+		fleet.heal(20);
+		assertEquals(replayed(fleet, fleet.nodes.get(1).begin("k", "f")), first.id().value());
+	}
+
+	private static Request running(ClaimFleet fleet) {
+		Request first = fleet.nodes.get(0).begin("k", "f");
+		fleet.heal(1);
+		fleet.nodes.get(0).send(first.id());
+		return first;
+	}
+
+	private static String replayed(ClaimFleet fleet, Request request) {
+		return ((Effect.Replay) fleet.ledger.answers.get(request.id())).answer().body();
+	}
+
+	private static void assertRefused(ClaimFleet fleet, Request request, RefusalReason reason, Outcome outcome) {
+		Refusal refusal = ((Effect.Refuse) fleet.ledger.answers.get(request.id())).refusal();
+		assertEquals(refusal.reason(), reason);
+		assertEquals(refusal.outcome(), outcome);
 	}
 
 	private static ClaimFleet ready(int size) {
@@ -67,6 +189,10 @@
 			step(fleet, random, maxStepMillis);
 		}
 		fleet.heal(60);
+		settle(fleet);
+	}
+
+	static void settle(ClaimFleet fleet) {
 		for (ClaimFleet.Node node : fleet.nodes) {
 			List.copyOf(node.ready.keySet()).forEach(node::abandon);
 			List.copyOf(node.running.keySet()).forEach((id) -> node.end(id, Ending.BROKEN, true));
