Keep the true state where a peer took the loser of a race for it

Cause: after an outage longer than half of the retention the log may lose the record in force while it keeps the loser of a race. A router that starts empty at that moment takes the loser for the root; its version is higher, so that peers took it over and the whole fleet would have gone back.

Ruled out: refusing every root that is older than the renewal age. A fleet that was down for half an hour would not start again by itself.

Change: a router rejects a peer's version that it read itself as a lost record; before, only routers did that which had read the log from its start. A chain that rests on a state which only a peer knew accepts corrections of peers. Adopting a peer's state in the middle of the chain was not needed and is gone.

Conclusion: routers that were running keep the true state, and the others meet them again with the next two accepted records at the latest.

--- a/ebonyford/src/main/java/org/ebonyford/control/ControlChain.java
+++ b/ebonyford/src/main/java/org/ebonyford/control/ControlChain.java
@@ -35,11 +35,16 @@
 	private long position;
 
 	/**
-	 * Whether every record since the start of the log was read, so that the chain is
-	 * certain.
+	 * Whether every record since the start of the log was read.
 	 */
 	private boolean complete = true;
 
+	/**
+	 * Whether the chain rests on a state that another router told and the log no longer
+	 * keeps.
+	 */
+	private boolean borrowed;
+
 	/**
 	 * The offset before which records may have been accepted that were never read.
 	 */
@@ -71,12 +76,12 @@
 	}
 
 	/**
-	 * Returns whether the chain proves that a version was not accepted.
+	 * Returns whether the chain shows that a version was not accepted.
 	 * @param version the version
-	 * @return {@code true} if the chain is certain up to that version and lacks it
+	 * @return {@code true} if the record of that version was read and not accepted
 	 */
 	boolean excludes(long version) {
-		return this.complete && version < this.position && version > version();
+		return !this.borrowed && version >= this.hiddenEnd && version < this.position && version > version();
 	}
 
 	/**
@@ -88,27 +93,11 @@
 		if (first <= this.position) {
 			return;
 		}
+		known.filter((state) -> state.version() < first && state.version() > version()).ifPresent(this::borrow);
 		this.complete = false;
 		this.position = first;
-		known.ifPresent(this::adopt);
-		if (version() < first) {
-			this.hiddenEnd = first;
-			this.hiddenVersion = version();
-		}
-	}
-
-	/**
-	 * Continues the chain from a state of another router, unless the chain is certain or
-	 * further on.
-	 * @param state the state
-	 */
-	void adopt(AcceptedState state) {
-		if (this.complete || state.version() <= version()) {
-			return;
-		}
-		this.last = state;
-		this.hiddenEnd = this.position;
-		this.hiddenVersion = state.version();
+		this.hiddenEnd = first;
+		this.hiddenVersion = version();
 	}
 
 	/**
@@ -121,9 +110,6 @@
 			return Verdict.KNOWN;
 		}
 		this.position = record.offset() + 1;
-		if (record.offset() <= version()) {
-			return learn(record);
-		}
 		if (!follows(record)) {
 			return Verdict.LOST;
 		}
@@ -138,12 +124,9 @@
 		this.position = Math.max(this.position, next);
 	}
 
-	private Verdict learn(ControlRecord record) {
-		if (record.offset() == version()) {
-			this.last = new AcceptedState(this.last.state(), this.last.configuration(),
-					OptionalLong.of(record.appendedAt()));
-		}
-		return Verdict.KNOWN;
+	private void borrow(AcceptedState state) {
+		this.last = state;
+		this.borrowed = true;
 	}
 
 	private boolean follows(ControlRecord record) {
@@ -187,7 +170,7 @@
 		/** The record is the last accepted state. */
 		ACCEPTED("accepted"),
 
-		/** The record was read before or lies before a known state. */
+		/** The record was read before. */
 		KNOWN("known"),
 
 		/** The record is not based on the state that was in force. */
--- a/ebonyford/src/main/java/org/ebonyford/control/ControlLog.java
+++ b/ebonyford/src/main/java/org/ebonyford/control/ControlLog.java
@@ -119,7 +119,6 @@
 			reject(state.version(), ControlChain.Verdict.INVALID, outbox);
 			return false;
 		}
-		this.chain.adopt(accepted.get());
 		return enter(accepted.get(), outbox);
 	}
 
--- a/ebonyford/src/test/java/org/ebonyford/control/ControlLogPropertyTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/control/ControlLogPropertyTest.java
@@ -24,7 +24,12 @@
 
 	@Test
 	public void testReadersAgreeWithTheReaderThatSawAll() {
-		qt().withExamples(RUNS).forAll(longs().all()).check((seed) -> new World(new Random(seed)).run());
+		qt().withExamples(RUNS).forAll(longs().all()).check((seed) -> new World(new Random(seed), true).run());
+	}
+
+	@Test
+	public void testReadersMeetAgainAfterTheLogLostTheState() {
+		qt().withExamples(RUNS).forAll(longs().all()).check((seed) -> new World(new Random(seed), false).recover());
 	}
 
 	/**
@@ -50,12 +55,15 @@
 
 		private final List<Long> versions = new ArrayList<>();
 
+		private final boolean refreshed;
+
 		private long inForce = -1;
 
 		private long time;
 
-		World(Random random) {
+		World(Random random, boolean refreshed) {
 			this.random = random;
+			this.refreshed = refreshed;
 			for (int index = 0; index < ROUTERS; index++) {
 				this.routers.add(ControlLogTest.log("vm" + index));
 				this.positions.add(0L);
@@ -74,6 +82,29 @@
 			return converge();
 		}
 
+		/**
+		 * Lets the log lose the state in force, then publishes twice.
+		 */
+		boolean recover() {
+			append(-1, 1);
+			for (int step = 0; step < STEPS; step++) {
+				step();
+				if (!forward()) {
+					return false;
+				}
+			}
+			publishAndRead();
+			publishAndRead();
+			return forward() && this.versions.stream().allMatch((version) -> version == this.inForce);
+		}
+
+		private void publishAndRead() {
+			append(this.inForce, this.random.nextInt(3) + 1);
+			for (int router = 0; router < ROUTERS; router++) {
+				read(router, Integer.MAX_VALUE);
+			}
+		}
+
 		private void step() {
 			int router = this.random.nextInt(ROUTERS);
 			switch (this.random.nextInt(10)) {
@@ -89,7 +120,9 @@
 
 		private void pass(long millis) {
 			this.time += millis;
-			refreshBeforeRetention();
+			if (this.refreshed) {
+				refreshBeforeRetention();
+			}
 		}
 
 		/**
@@ -149,11 +182,15 @@
 		}
 
 		private boolean agree() {
+			return forward() && this.routers.stream()
+				.flatMap((router) -> router.current().stream())
+				.allMatch((state) -> state.equals(this.accepted.get(state.version())));
+		}
+
+		private boolean forward() {
 			for (int router = 0; router < ROUTERS; router++) {
 				long version = this.routers.get(router).version();
-				boolean reverted = version < this.versions.get(router);
-				ControlState state = this.routers.get(router).current().orElse(null);
-				if (reverted || (version >= 0 && !state.equals(this.accepted.get(version)))) {
+				if (version < this.versions.get(router)) {
 					return false;
 				}
 				this.versions.set(router, version);
--- a/ebonyford/src/test/java/org/ebonyford/control/ControlLogTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/control/ControlLogTest.java
@@ -89,6 +89,41 @@
 		assertFalse(this.control.offered(record(2, 0, 3).state(), this.outbox));
 	}
 
+	@Test
+	public void testStateInferredByAPeerDoesNotReplaceTheTrueOne() {
+		read(4, record(4, 2, 1), record(5, 4, 2), record(6, 4, 3));
+		assertFalse(this.control.offered(record(6, 4, 3).state(), this.outbox));
+		assertEquals(this.control.version(), 5);
+	}
+
+	@Test
+	public void testWrongRootYieldsToTheRenewalOfTheTrueState() {
+		read(6, record(6, 4, 3));
+		assertEquals(this.control.version(), 6);
+		read(6, record(7, 5, 2));
+		assertEquals(this.control.version(), 7);
+	}
+
+	@Test
+	public void testStateThatTheLogLostComesFromAPeer() {
+		read(9);
+		assertTrue(this.control.offered(record(3, -1, 1).state(), this.outbox));
+	}
+
+	@Test
+	public void testLoserDoesNotReplaceAPeersStateThatTheLogLost() {
+		this.control.offered(record(3, 2, 1).state(), this.outbox);
+		read(5, record(5, 2, 2));
+		assertEquals(this.control.version(), 3);
+	}
+
+	@Test
+	public void testPeersCorrectAStateThatOnlyAPeerKnew() {
+		this.control.offered(record(3, 2, 1).state(), this.outbox);
+		read(5, record(5, 2, 2));
+		assertTrue(this.control.offered(record(5, 2, 2).state(), this.outbox));
+	}
+
 	@Test
 	public void testInvalidPeerStateIsRejected() {
 		assertFalse(this.control.offered(record(2, 0, 0).state(), this.outbox));
