Let the commands work with the log service

Cause: the program had no client of the log service, so that publish, show and the take-outs could not run outside of tests.

Ruled out: a client of the command line's own; the routers' client tells whether an append may have taken effect, which the publisher needs.

Change: Main makes an HttpLogClient and sets the log of the process to warnings before a command runs, since debug lines went to the commands' output.

Conclusion: operators can publish and take out with the built file.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/Main.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/Main.java
@@ -1,17 +1,19 @@
 package org.ebonyford.router;
 
-import java.net.URI;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
 
+import ch.qos.logback.classic.Level;
+import io.dropwizard.logging.common.BootstrapLogging;
+
 import org.ebonyford.router.command.CommandEnvironment;
 import org.ebonyford.router.command.CommandLine;
 import org.ebonyford.router.command.HttpFetcher;
 import org.ebonyford.router.command.TextFiles;
-import org.ebonyford.router.log.LogClient;
-import org.ebonyford.router.log.LogException;
+import org.ebonyford.router.log.HttpLogClient;
+import org.ebonyford.router.log.LogTimeouts;
 import org.ebonyford.router.settings.RouterSettingsReader;
 
 /**
@@ -37,6 +39,7 @@
 	 * @param arguments the command and its options
 	 */
 	public static void main(String[] arguments) {
+		BootstrapLogging.bootstrap(Level.WARN);
 		CommandLine line = new CommandLine(environment(), System.out, System.err);
 		System.exit(line.run(arguments).number());
 	}
@@ -44,15 +47,12 @@
 	private static CommandEnvironment environment() {
 		Map<String, String> variables = System.getenv();
 		return new CommandEnvironment(TextFiles.ForFileSystem.INSTANCE, RouterSettingsReader.ofProcess(),
-				(name) -> Optional.ofNullable(variables.get(name)), Main::log, new HttpFetcher(HTTP_TIMEOUT),
+				(name) -> Optional.ofNullable(variables.get(name)),
+				(address) -> HttpLogClient.of(address, LogTimeouts.DEFAULT), new HttpFetcher(HTTP_TIMEOUT),
 				RouterLauncher.Disabled.INSTANCE, System.getProperty("user.name"), () -> UUID.randomUUID().toString(),
 				Main::pause);
 	}
 
-	private static LogClient log(URI address) {
-		throw new LogException("This program has no client for the log service at " + address, false, null);
-	}
-
 	private static void pause() {
 		try {
 			Thread.sleep(APPEND_PAUSE_MILLIS);
--- a/ebonyford-router/src/main/java/org/ebonyford/router/control/ControlStream.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/control/ControlStream.java
@@ -25,6 +25,7 @@
 import org.ebonyford.router.log.LogClient;
 import org.ebonyford.router.log.LogException;
 import org.ebonyford.router.log.LogSlice;
+import org.ebonyford.router.log.LogStreams;
 
 /**
  * The control stream as one command sees it, read and appended to step by step by one
@@ -32,11 +33,6 @@
  */
 final class ControlStream {
 
-	/**
-	 * The name of the stream.
-	 */
-	static final String NAME = "control";
-
 	/**
 	 * The records that one read asks for at most.
 	 */
@@ -136,7 +132,7 @@
 	 * @throws LogException if the append failed or its answer was lost
 	 */
 	void append(ControlRecord record) {
-		await(this.client.append(NAME, this.codec.encode(record)));
+		await(this.client.append(LogStreams.CONTROL, this.codec.encode(record)));
 	}
 
 	/**
@@ -182,7 +178,7 @@
 	}
 
 	private LogSlice slice() {
-		LogSlice slice = await(this.client.read(NAME, this.position, READ_LIMIT, 0));
+		LogSlice slice = await(this.client.read(LogStreams.CONTROL, this.position, READ_LIMIT, 0));
 		this.position = Math.max(this.position, slice.next());
 		return slice;
 	}
