Slots: a slot whose past is unknown is freed only by a report that every router has explained

Cause: after the death of a router its requests may run on at the upstream, and several successors take the same room. Found on the way: (a) a router judged by requests that it believed to run, though the message of their end went to a former owner; (b) held slots were freed from the lowest index up, so the slot that stayed held was often one above the limit, which holds nothing back; (c) an upstream that restarts within the age of a sample still counted as warm. Change: entry routers tell all owners of an upstream all they run there; a held slot is freed only as far as a report that all routers have confirmed their requests after leaves nothing unexplained, highest index first, or after twice the longest time that 64 or more requests lasted lately, at most 30 s; samples older than 600 ms, an upstream that can't be asked or that declines count as cold; a moved slot is taken over as soon as all listed routers follow the list (Dispatch.followed) plus 2.2 s, else after 8 s. Ruled out: sharing a report's slack among owners, which differ in the sample they hold; holding by F alone, where owners with slack on their own slots grow after the sample.

--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Announcements.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Announcements.java
@@ -50,7 +50,8 @@
 	 * Sends what is due.
 	 * @param now the clock reading in milliseconds
 	 * @param outbox takes the messages
-	 * @return the own slots that own requests occupy, or empty if no confirmation is due
+	 * @return what this router is to know itself as an owner, or empty if no confirmation
+	 * is due
 	 */
 	Optional<Occupied> tick(long now, Outbox outbox) {
 		if (now >= this.rollAt) {
@@ -60,15 +61,17 @@
 		if (now >= this.gossipAt) {
 			this.gossipAt = now + this.fleet.settings().times().gossip();
 			gossip(outbox);
+			this.entry.age(now);
 		}
 		return (now >= this.confirmAt) ? occupied(now, outbox) : Optional.empty();
 	}
 
 	/**
-	 * Tells the owners of slots which of them the requests of this router occupy.
+	 * Tells the owners of an upstream's slots which of all its slots the requests of this
+	 * router occupy.
 	 * @param now the clock reading in milliseconds
 	 * @param outbox takes the messages
-	 * @return the own slots that own requests occupy
+	 * @return what this router is to know itself as an owner
 	 */
 	Optional<Occupied> occupied(long now, Outbox outbox) {
 		this.confirmAt = now + this.fleet.settings().times().confirmation();
@@ -76,7 +79,7 @@
 		for (Running running : this.entry.running()) {
 			Occupied.Slot slot = new Occupied.Slot(running.upstream().upstream().id(), running.slot(), running.grant(),
 					running.waiting().request().organisation());
-			running.upstream().owner(running.slot()).ifPresent((owner) -> slots.add(owner, slot));
+			running.upstream().distinctOwners().forEach((owner) -> slots.add(owner, slot));
 		}
 		List<Occupied.Slot> own = slots.remove(this.fleet.self().vm());
 		send(now, slots, outbox);
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Dispatch.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Dispatch.java
@@ -138,8 +138,7 @@
 	 * @param outbox takes the effects
 	 */
 	public void reported(long now, UpstreamId upstream, Optional<LoadReport> report, Outbox outbox) {
-		report.ifPresent((received) -> this.fleet.upstream(upstream)
-			.ifPresent((state) -> this.owner.reported(now, state, received, outbox)));
+		this.fleet.upstream(upstream).ifPresent((state) -> this.owner.reported(now, state, report, outbox));
 	}
 
 	/**
@@ -203,6 +202,18 @@
 		settle(now, outbox);
 	}
 
+	/**
+	 * Takes in which revision of the VM list another router follows. Slots that the list
+	 * moved are taken over sooner once all routers are known to follow it; without these
+	 * calls the handover time passes first.
+	 * @param now the clock reading in milliseconds
+	 * @param vm the VM of the router
+	 * @param revision the revision that the router's last heartbeat told
+	 */
+	public void followed(long now, VmId vm, long revision) {
+		this.fleet.followed(now, vm, revision);
+	}
+
 	/**
 	 * Takes in that time passed.
 	 * @param now the clock reading in milliseconds
@@ -225,7 +236,8 @@
 	 * @param outbox takes the effects
 	 */
 	public void resumed(long now, Outbox outbox) {
-		this.owner.suspend(now, now - this.lastAt >= this.fleet.settings().times().grantValidity());
+		this.owner.suspend(now, now - this.lastAt >= this.fleet.settings().times().handover());
+		this.entry.resume(now);
 		this.entry.expire(now, outbox);
 		flush(now, outbox);
 	}
@@ -290,6 +302,15 @@
 		return this.fleet.upstream(upstream).map((state) -> state.limit(this.lastAt)).orElse(0);
 	}
 
+	/**
+	 * Returns how many own slots of an upstream wait until nothing else can run in them.
+	 * @param upstream the upstream
+	 * @return the slots
+	 */
+	public int blocked(UpstreamId upstream) {
+		return this.fleet.upstream(upstream).map((state) -> state.slots().blocked()).orElse(0);
+	}
+
 	/**
 	 * Returns the service that organisations got from a pool in the whole fleet.
 	 * @param pool the pool
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/DispatchSettings.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/DispatchSettings.java
@@ -81,11 +81,12 @@
 	 * @param grantValidity how long after the demand that it answers a grant may be used
 	 * @param handover how long a slot that moves between live routers stays unused; at
 	 * least the validity of grants, the lag of the VM list and its poll period together
-	 * @param startUp how long a router that starts leaves its slots unused; at least the
-	 * validity of grants and the period of confirmations together
+	 * @param startUp how long a slot stays unused after all routers follow the list that
+	 * moved it, and after the start of a router; at least the validity of grants and the
+	 * period of confirmations together
 	 * @param confirmation the period in which an entry router confirms running requests
 	 * @param silence how long a running request may go unconfirmed
-	 * @param orphan how long a request may run on after its routers are lost
+	 * @param orphan how long a request may run on after its routers are lost, at most
 	 * @param abandoned how long a request may run on after its exchange broke or was
 	 * cancelled
 	 * @param stale the age of a load report beyond which an upstream counts as cold
@@ -118,7 +119,7 @@
 		 * @return the bounds
 		 */
 		public static Times defaults() {
-			return new Times(1_000, 8_000, 2_200, 1_000, 3_500, 10_000, 1_000, 1_500, 5_000, 250, 1_000, 5, 250, 5);
+			return new Times(1_000, 8_000, 2_200, 1_000, 3_500, 30_000, 1_000, 600, 5_000, 250, 1_000, 5, 250, 5);
 		}
 
 		private static void require(boolean condition, String message) {
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Entry.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Entry.java
@@ -125,7 +125,7 @@
 		RequestId id = first.get().request().id();
 		UpstreamState upstream = permission.upstream();
 		this.waiting.remove(id);
-		this.running.put(id, new Running(first.get(), permission.grant(), upstream, permission.slot(), false));
+		this.running.put(id, new Running(first.get(), permission.grant(), upstream, permission.slot(), now, false));
 		upstream.started();
 		pool.queueChanged(now, organisation);
 		outbox.add(new Effect.Send(id, upstream.upstream().id(), upstream.upstream().address(), permission.notAfter()));
@@ -148,6 +148,7 @@
 			return Completion.UNTRACKED;
 		}
 		exchange.upstream().ended();
+		this.fleet.pool(exchange.waiting().request().pool()).ifPresent((pool) -> pool.lasted(now - exchange.since()));
 		if (ending == Ending.BROKEN) {
 			exchange.upstream().warmth().doubt(now);
 		}
@@ -176,6 +177,25 @@
 		}
 	}
 
+	/**
+	 * Takes in that the event loop stood still.
+	 * @param now the clock reading in milliseconds
+	 */
+	void resume(long now) {
+		this.running.replaceAll((id, exchange) -> exchange.resume(now));
+	}
+
+	/**
+	 * Takes in how long the running requests have lasted so far.
+	 * @param now the clock reading in milliseconds
+	 */
+	void age(long now) {
+		for (Running exchange : this.running.values()) {
+			this.fleet.pool(exchange.waiting().request().pool())
+				.ifPresent((pool) -> pool.lasting(now - exchange.since()));
+		}
+	}
+
 	Collection<Running> running() {
 		return this.running.values();
 	}
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Fleet.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Fleet.java
@@ -1,14 +1,12 @@
 package org.ebonyford.dispatch;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -24,6 +22,7 @@
 import org.ebonyford.identity.UpstreamId;
 import org.ebonyford.identity.VmId;
 import org.ebonyford.slot.Occupant;
+import org.ebonyford.slot.SlotTable;
 import org.ebonyford.topology.Topology;
 import org.ebonyford.warmup.Warmth;
 
@@ -57,6 +56,11 @@
 	 */
 	private final Set<VmId> lost = new HashSet<>();
 
+	/**
+	 * The revisions of the VM list that the other routers follow.
+	 */
+	private final Map<VmId, Long> revisions = new HashMap<>();
+
 	/**
 	 * The fleet's topology, or {@code null} before the first one.
 	 */
@@ -134,11 +138,27 @@
 	 */
 	void reachable(VmId vm, boolean reachable) {
 		boolean changed = reachable ? this.lost.remove(vm) : this.lost.add(vm);
+		if (!reachable) {
+			this.revisions.remove(vm);
+		}
 		if (changed && this.topology != null) {
 			selectOwners();
 		}
 	}
 
+	/**
+	 * Takes in which revision of the VM list another router follows.
+	 * @param now the clock reading in milliseconds
+	 * @param vm the VM of the router
+	 * @param revision the revision
+	 */
+	void followed(long now, VmId vm, long revision) {
+		Long former = this.revisions.put(vm, revision);
+		if (former == null || former < revision) {
+			confirm(now);
+		}
+	}
+
 	/**
 	 * Puts a topology in force.
 	 * @param now the clock reading in milliseconds
@@ -149,7 +169,7 @@
 		if (this.topology == null) {
 			this.startedUpAt = now + this.settings.times().startUp();
 		}
-		boolean first = this.topology == null;
+		Move move = move(now, next);
 		this.topology = next;
 		this.pools.values().forEach((pool) -> pool.configure(pool.pool()));
 		this.upstreams.values().forEach(UpstreamState::close);
@@ -158,9 +178,10 @@
 		Map<DataCentreId, List<VmId>> candidates = new HashMap<>();
 		for (Upstream upstream : new TreeMap<>(next.configuration().upstreams()).values()) {
 			List<VmId> owners = candidates.computeIfAbsent(upstream.dataCentre(), next::ownersFor);
-			configure(now, upstream, owners, first, moved);
+			configure(upstream, owners, move, moved);
 		}
 		selectOwners();
+		confirm(now);
 		return moved;
 	}
 
@@ -176,20 +197,38 @@
 		state.ledger().weights(this.topology.configuration()::weight);
 	}
 
-	private void configure(long now, Upstream upstream, List<VmId> candidates, boolean first, List<Moved> moved) {
+	private Move move(long now, Topology next) {
+		boolean listed = this.topology == null || this.topology.listRevision() != next.listRevision();
+		return new Move(now + this.settings.times().handover(), listed ? next.listRevision() : Long.MAX_VALUE);
+	}
+
+	private void confirm(long now) {
+		if (this.topology == null) {
+			return;
+		}
+		long all = Long.MAX_VALUE - 1;
+		for (VmId router : this.topology.routers()) {
+			if (!router.equals(this.self.vm())) {
+				all = Math.min(all, this.revisions.getOrDefault(router, Long.MIN_VALUE));
+			}
+		}
+		for (UpstreamState upstream : this.upstreams.values()) {
+			upstream.slots().followed(all, now + this.settings.times().startUp());
+		}
+	}
+
+	private void configure(Upstream upstream, List<VmId> candidates, Move move, List<Moved> moved) {
 		PoolState pool = this.pools.get(upstream.pool());
 		UpstreamState state = this.upstreams.get(upstream.id());
-		boolean added = state == null;
-		if (added) {
+		if (state == null) {
 			Warmth warmth = new Warmth(this.settings.warmUp(), this.settings.times().stale(),
 					this.settings.times().lost());
-			state = new UpstreamState(warmth);
+			state = new UpstreamState(warmth, new SlotTable(this.settings.times().confirmation()));
 			this.upstreams.put(upstream.id(), state);
 		}
 		state.configure(upstream, pool.pool(), this.topology.open(upstream.id()));
 		pool.upstreams().add(state);
-		long wait = (first || added) ? this.settings.times().startUp() : this.settings.times().handover();
-		assign(now + wait, state, owners(upstream.id(), pool.pool().warmLimit(), candidates), moved);
+		assign(state, owners(upstream.id(), pool.pool().warmLimit(), candidates), move, moved);
 	}
 
 	private VmId[] owners(UpstreamId upstream, int slots, List<VmId> candidates) {
@@ -200,7 +239,7 @@
 		return owners;
 	}
 
-	private void assign(long availableAt, UpstreamState state, VmId[] owners, List<Moved> moved) {
+	private void assign(UpstreamState state, VmId[] owners, Move move, List<Moved> moved) {
 		VmId[] former = state.owners();
 		state.owners(owners);
 		for (int slot = 0; slot < Math.max(former.length, owners.length); slot++) {
@@ -210,7 +249,7 @@
 				letGo(state, slot, moved);
 			}
 			else if (owns && !owned) {
-				state.slots().take(slot, availableAt);
+				state.slots().take(slot, move.availableAt(), move.revision());
 			}
 		}
 	}
@@ -238,12 +277,24 @@
 	}
 
 	private void collect(UpstreamState upstream, Set<VmId> into) {
-		Arrays.stream(upstream.owners())
-			.filter(Objects::nonNull)
+		upstream.distinctOwners()
+			.stream()
 			.filter((owner) -> !owner.equals(this.self.vm()) && !this.lost.contains(owner))
 			.forEach(into::add);
 	}
 
+	/**
+	 * When slots that a topology moved may be granted.
+	 *
+	 * @param availableAt the clock reading in milliseconds from which they may be granted
+	 * in any case
+	 * @param revision the revision of the VM list after which they may be granted once
+	 * all follow it, or the largest number if the list did not move them
+	 */
+	private record Move(long availableAt, long revision) {
+
+	}
+
 	/**
 	 * What occupies a slot that this router let go.
 	 *
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Owner.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Owner.java
@@ -142,12 +142,16 @@
 	 * Takes in a load report.
 	 * @param now the clock reading in milliseconds
 	 * @param upstream the upstream
-	 * @param report the report
+	 * @param report the report, or empty if the upstream could not be asked
 	 * @param outbox takes grants
 	 */
-	void reported(long now, UpstreamState upstream, LoadReport report, Outbox outbox) {
-		if (upstream.warmth().reported(now, report)) {
-			upstream.slots().reported(upstream.warmth().sampledAt(), report.running());
+	void reported(long now, UpstreamState upstream, Optional<LoadReport> report, Outbox outbox) {
+		if (report.isEmpty()) {
+			upstream.warmth().doubt(now);
+			return;
+		}
+		if (upstream.warmth().reported(now, report.get())) {
+			upstream.slots().reported(now, upstream.warmth().sampledAt(), report.get().running());
 			this.fleet.pool(upstream.upstream().pool()).ifPresent((pool) -> serve(now, pool, outbox));
 		}
 	}
@@ -158,10 +162,10 @@
 	 * @param vm the VM of the entry router
 	 */
 	void lost(long now, VmId vm) {
-		for (UpstreamState upstream : this.fleet.upstreams()) {
-			upstream.slots().lost(vm, now, this.fleet.settings().times().orphan());
-		}
 		for (PoolState pool : this.fleet.pools()) {
+			for (UpstreamState upstream : pool.upstreams()) {
+				upstream.slots().lost(vm, now);
+			}
 			pool.ledger().lost(now, vm);
 			changed(now, pool, pool.demand().forget(vm));
 		}
@@ -173,10 +177,10 @@
 	 */
 	void tick(long now) {
 		DispatchSettings.Times times = this.fleet.settings().times();
-		for (UpstreamState upstream : this.fleet.upstreams()) {
-			upstream.slots().tick(now, times.silence(), times.orphan());
-		}
 		for (PoolState pool : this.fleet.pools()) {
+			for (UpstreamState upstream : pool.upstreams()) {
+				upstream.slots().tick(now, times.silence(), pool.orphanMillis(times));
+			}
 			long before = now - times.grantValidity() / 2;
 			pool.demand()
 				.outdated(before, this.fleet.self().vm())
@@ -261,6 +265,7 @@
 			case NOT_SENT -> upstream.slots().vacate(slot, grant);
 			case DECLINED -> {
 				upstream.failed(now, settings.retries());
+				upstream.warmth().doubt(now);
 				upstream.slots().vacate(slot, grant);
 			}
 			case BROKEN -> {
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
@@ -19,6 +19,16 @@
 	 */
 	private static final double SHARE = 1.0 / 64;
 
+	/**
+	 * The requests whose times are relied on.
+	 */
+	private static final int ENOUGH = 64;
+
+	/**
+	 * The share of the longest time that is forgotten at every request.
+	 */
+	private static final double FORGETTING = 1.0 / 1024;
+
 	/**
 	 * The VM of this router.
 	 */
@@ -54,6 +64,16 @@
 	 */
 	private Pool pool;
 
+	/**
+	 * The requests that ended.
+	 */
+	private long ended;
+
+	/**
+	 * The longest time in milliseconds that a request lasted lately.
+	 */
+	private double longest;
+
 	/**
 	 * The average cost of a request.
 	 */
@@ -152,6 +172,37 @@
 		this.meanCost += SHARE * (cost - this.meanCost);
 	}
 
+	/**
+	 * Takes in how long a request lasted.
+	 * @param millis the milliseconds from its sending to its end
+	 */
+	void lasted(long millis) {
+		this.ended++;
+		this.longest *= 1 - FORGETTING;
+		lasting(millis);
+	}
+
+	/**
+	 * Takes in that a request lasts at least a time.
+	 * @param millis the milliseconds from its sending until now
+	 */
+	void lasting(long millis) {
+		this.longest = Math.max(this.longest, millis);
+	}
+
+	/**
+	 * Returns how long a request may run on after its routers are lost.
+	 * @param times the bounds in time
+	 * @return twice the longest time that a request lasted lately within the bounds, or
+	 * the upper bound if too few are known
+	 */
+	long orphanMillis(DispatchSettings.Times times) {
+		if (this.ended < ENOUGH) {
+			return times.orphan();
+		}
+		return Math.min(times.orphan(), Math.max(times.abandoned(), (long) (2 * this.longest)));
+	}
+
 	/**
 	 * Begins a new period of the estimate of what other routers charge.
 	 */
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/UpstreamState.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/UpstreamState.java
@@ -1,5 +1,8 @@
 package org.ebonyford.dispatch;
 
+import java.util.Arrays;
+import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 
 import org.ebonyford.configuration.Pool;
@@ -21,7 +24,7 @@
 	/**
 	 * The slots that this router owns.
 	 */
-	private final SlotTable slots = new SlotTable();
+	private final SlotTable slots;
 
 	/**
 	 * The upstream's entry in the configuration.
@@ -38,6 +41,11 @@
 	 */
 	private VmId[] owners = new VmId[0];
 
+	/**
+	 * The routers that own at least one slot.
+	 */
+	private List<VmId> distinctOwners = List.of();
+
 	/**
 	 * Whether the upstream may get new work as far as operators and the platform tell.
 	 */
@@ -59,8 +67,9 @@
 	 */
 	private long backoffUntil = Long.MIN_VALUE;
 
-	UpstreamState(Warmth warmth) {
+	UpstreamState(Warmth warmth, SlotTable slots) {
 		this.warmth = warmth;
+		this.slots = slots;
 	}
 
 	Warmth warmth() {
@@ -91,6 +100,15 @@
 
 	void owners(VmId[] value) {
 		this.owners = value;
+		this.distinctOwners = Arrays.stream(value).filter(Objects::nonNull).distinct().toList();
+	}
+
+	/**
+	 * Returns the routers that own at least one slot.
+	 * @return the VMs of the routers
+	 */
+	List<VmId> distinctOwners() {
+		return this.distinctOwners;
 	}
 
 	void close() {
--- a/ebonyford/src/main/java/org/ebonyford/slot/Occupant.java
+++ b/ebonyford/src/main/java/org/ebonyford/slot/Occupant.java
@@ -91,8 +91,8 @@
 		return this.expiresAt;
 	}
 
-	long since() {
-		return this.since;
+	boolean ran(long from, long until) {
+		return this.since <= from && this.seenAt >= until;
 	}
 
 	boolean silent(long now, long silenceMillis) {
--- a/ebonyford/src/main/java/org/ebonyford/slot/SlotTable.java
+++ b/ebonyford/src/main/java/org/ebonyford/slot/SlotTable.java
@@ -1,9 +1,7 @@
 package org.ebonyford.slot;
 
-import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -39,6 +37,16 @@
 	 */
 	private final Map<GrantId, Occupant> strays = new HashMap<>();
 
+	/**
+	 * What ran in the slots of other owners.
+	 */
+	private final Witness witness = new Witness();
+
+	/**
+	 * The milliseconds within which every router confirms its running requests.
+	 */
+	private final long confirmationMillis;
+
 	/**
 	 * The number of own slots.
 	 */
@@ -64,23 +72,49 @@
 	 */
 	private int foreign;
 
+	/**
+	 * Creates a table without any own slot.
+	 * @param confirmationMillis the milliseconds within which every router confirms its
+	 * running requests
+	 */
+	public SlotTable(long confirmationMillis) {
+		this.confirmationMillis = confirmationMillis;
+	}
+
 	/**
 	 * Takes a slot over.
 	 * @param index the index of the slot
 	 * @param availableAt the clock reading in milliseconds from which no other router can
 	 * grant the slot
+	 * @param revision the revision of the VM list that moved the slot
 	 */
-	public void take(int index, long availableAt) {
+	public void take(int index, long availableAt, long revision) {
 		if (index >= this.slots.length) {
 			this.slots = java.util.Arrays.copyOf(this.slots, index + 1);
 		}
 		Slot slot = new Slot();
 		slot.awaitedUntil = availableAt;
+		slot.awaitedRevision = revision;
 		slot.state = State.AWAITED;
 		this.slots[index] = slot;
 		this.owned++;
 	}
 
+	/**
+	 * Takes in that all other routers follow a revision of the VM list, so that none
+	 * grants the slots that it or an earlier one moved.
+	 * @param revision the revision
+	 * @param availableAt the clock reading in milliseconds from which these slots may be
+	 * granted at the latest
+	 */
+	public void followed(long revision, long availableAt) {
+		for (Slot slot : this.slots) {
+			if (slot != null && slot.state == State.AWAITED && slot.awaitedRevision <= revision) {
+				slot.awaitedUntil = Math.min(slot.awaitedUntil, availableAt);
+			}
+		}
+	}
+
 	/**
 	 * Lets a slot go.
 	 * @param index the index of the slot
@@ -170,6 +204,7 @@
 	 */
 	public void seen(int index, Occupant occupant, long now) {
 		if (!owns(index)) {
+			this.witness.seen(occupant.grant(), now);
 			return;
 		}
 		Slot slot = this.slots[index];
@@ -189,12 +224,11 @@
 	 * Holds the slots of the requests of an entry router that is lost.
 	 * @param entry the VM of the entry router
 	 * @param now the clock reading in milliseconds
-	 * @param orphanMillis the milliseconds after which its requests certainly run no more
 	 */
-	public void lost(VmId entry, long now, long orphanMillis) {
+	public void lost(VmId entry, long now) {
 		for (Slot slot : this.slots) {
 			if (slot != null && slot.occupant != null && slot.occupant.entry().equals(entry)) {
-				silence(slot, now, orphanMillis);
+				silence(slot, now);
 			}
 		}
 	}
@@ -221,6 +255,7 @@
 			if (slot != null) {
 				slot.state = State.AWAITED;
 				slot.awaitedUntil = availableAt;
+				slot.awaitedRevision = Long.MAX_VALUE;
 			}
 		}
 	}
@@ -245,14 +280,17 @@
 
 	/**
 	 * Takes in how many requests ran on the upstream.
+	 * @param now the clock reading in milliseconds
 	 * @param sampledAt the clock reading in milliseconds of the sample
 	 * @param running the requests that ran
 	 */
-	public void reported(long sampledAt, int running) {
+	public void reported(long now, long sampledAt, int running) {
 		this.foreign = Math.max(0, running - Math.max(this.peak, this.earlierPeak));
 		this.earlierPeak = this.peak;
 		this.peak = occupied();
-		release(sampledAt, running - certain(sampledAt - SETTLE_MILLIS));
+		release(sampledAt, running);
+		this.witness.reported(new Witness.Sample(sampledAt, running));
+		this.witness.explained(now - this.confirmationMillis - 2 * SETTLE_MILLIS).ifPresent(this::explain);
 	}
 
 	/**
@@ -312,13 +350,13 @@
 				slot.state = State.OCCUPIED;
 			}
 			else {
-				hold(slot, slot.awaitedUntil, slot.awaitedUntil + orphanMillis);
+				hold(slot, slot.awaitedUntil, Long.MAX_VALUE);
 			}
 		}
 		if (slot.state == State.OCCUPIED && slot.occupant.silent(now, silenceMillis)) {
-			silence(slot, now, orphanMillis);
+			silence(slot, now);
 		}
-		if (slot.state == State.HELD && now >= slot.heldUntil) {
+		if (slot.state == State.HELD && (now >= slot.heldUntil || now >= slot.heldSince + orphanMillis)) {
 			free(index, slot);
 		}
 	}
@@ -347,11 +385,11 @@
 		return Optional.of(slot);
 	}
 
-	private void silence(Slot slot, long now, long orphanMillis) {
+	private void silence(Slot slot, long now) {
 		long since = Math.max(now, slot.occupant.expiresAt());
 		slot.occupant = null;
 		this.occupied--;
-		hold(slot, since, since + orphanMillis);
+		hold(slot, since, Long.MAX_VALUE);
 	}
 
 	private void hold(Slot slot, long since, long until) {
@@ -369,29 +407,40 @@
 		}
 	}
 
-	private int certain(long before) {
+	private void explain(Witness.Sample sample) {
+		int others = this.witness.certain(sample.at(), sample.at() + SETTLE_MILLIS);
+		int own = certain(sample.at() - SETTLE_MILLIS, sample.at() + SETTLE_MILLIS);
+		release(sample.at(), sample.running() - own - others);
+	}
+
+	private int certain(long from, long until) {
 		int certain = 0;
 		for (Slot slot : this.slots) {
-			if (slot != null && slot.occupant != null && slot.occupant.since() <= before) {
+			if (slot != null && slot.occupant != null && slot.occupant.ran(from, until)) {
 				certain++;
 			}
 		}
 		return certain;
 	}
 
+	/**
+	 * Frees held slots that nothing can run in. The ones with the lowest indices stay
+	 * held, since the others may not be usable yet and so hold nothing back.
+	 * @param sampledAt the clock reading in milliseconds of a sample
+	 * @param unexplained the requests that ran and that no router confirms
+	 */
 	private void release(long sampledAt, int unexplained) {
-		List<Integer> held = new ArrayList<>();
+		int kept = 0;
 		for (int index = 0; index < this.slots.length; index++) {
-			if (this.slots[index] != null && this.slots[index].state == State.HELD) {
-				held.add(index);
-			}
-		}
-		int releasable = held.size() - Math.max(0, unexplained);
-		for (int index : held) {
 			Slot slot = this.slots[index];
-			if (releasable > 0 && sampledAt - SETTLE_MILLIS > slot.heldSince) {
+			if (slot == null || slot.state != State.HELD) {
+				continue;
+			}
+			if (kept >= unexplained && sampledAt - SETTLE_MILLIS > slot.heldSince) {
 				free(index, slot);
-				releasable--;
+			}
+			else {
+				kept++;
 			}
 		}
 	}
@@ -436,13 +485,19 @@
 		 */
 		private long awaitedUntil;
 
+		/**
+		 * The revision of the VM list that moved the slot, or the largest number if none
+		 * did.
+		 */
+		private long awaitedRevision;
+
 		/**
 		 * The clock reading in milliseconds since which the slot is held.
 		 */
 		private long heldSince;
 
 		/**
-		 * The clock reading in milliseconds at which the slot is let free in any case.
+		 * The clock reading in milliseconds at which the slot is let free at the latest.
 		 */
 		private long heldUntil;
 
--- a/ebonyford/src/test/java/org/ebonyford/dispatch/FakeFleet.java
+++ b/ebonyford/src/test/java/org/ebonyford/dispatch/FakeFleet.java
@@ -71,6 +71,10 @@
 
 	long listLag = 20;
 
+	int leastCost = 50;
+
+	int costRange = 300;
+
 	/** The largest number of requests above what an engine bore. */
 	int excess;
 
@@ -157,7 +161,7 @@
 	}
 
 	void request(String organisation, int router, double hintFactor) {
-		long cost = 50 + this.random.nextInt(300);
+		long cost = this.leastCost + this.random.nextInt(this.costRange);
 		long hint = Math.max(1, Math.round(cost * hintFactor));
 		Router entry = this.routers.get(router);
 		RequestId id = new RequestId("r" + this.requests++);
@@ -208,6 +212,15 @@
 		return this.served.getOrDefault(organisation, 0L) / this.weights.get(organisation);
 	}
 
+	private void follow(Router router, Router peer) {
+		long version = router.revision;
+		at(2, () -> {
+			if (router.alive && !this.cuts.contains(List.of(router.index, peer.index))) {
+				peer.event((dispatch, outbox) -> dispatch.followed(peer.clock(), vm(router.index), version));
+			}
+		});
+	}
+
 	private void greet(Router router, Router peer) {
 		at(2, () -> router.event((dispatch, outbox) -> {
 			if (peer.alive && !this.cuts.contains(List.of(router.index, peer.index))) {
@@ -278,6 +291,17 @@
 
 		private long offset;
 
+		private long revision = -1;
+
+		private void beat(int current) {
+			FakeFleet.this.routers.stream().filter((peer) -> peer != this).forEach((peer) -> follow(this, peer));
+			at(200, () -> {
+				if (this.alive && this.generation == current) {
+					beat(current);
+				}
+			});
+		}
+
 		private Router(int index) {
 			this.index = index;
 		}
@@ -299,6 +323,7 @@
 			this.dispatch = new Dispatch(FakeFleet.this.settings, self());
 			readList();
 			tick(this.generation);
+			beat(this.generation);
 			for (Router peer : FakeFleet.this.routers) {
 				if (peer != this && peer.alive) {
 					greet(this, peer);
@@ -338,6 +363,7 @@
 			long version = FakeFleet.this.revision;
 			at(10 + (long) (FakeFleet.this.random.nextDouble() * FakeFleet.this.listLag), () -> {
 				if (this.alive && version == FakeFleet.this.revision) {
+					this.revision = version;
 					event((dispatch, outbox) -> dispatch.topology(clock(), topology(list, version), outbox));
 				}
 			});
@@ -481,21 +507,23 @@
 			});
 		}
 
+		private LoadReport aged(LoadReport report, long sampled) {
+			return new LoadReport(report.incarnation(), report.running(), report.completed(),
+					FakeFleet.this.now - sampled, report.leaving());
+		}
+
 		private void disconnect(Router router) {
 			this.running.values().removeIf((owner) -> owner == router);
 		}
 
 		private void poll() {
+			boolean answers = !this.down;
 			LoadReport report = new LoadReport(this.incarnation, this.running.size(), this.completed, 0, false);
 			long sampled = FakeFleet.this.now;
-			if (!this.down) {
-				for (Router router : FakeFleet.this.routers) {
-					at(50 + FakeFleet.this.random.nextInt(50),
-							() -> router.event((dispatch, outbox) -> dispatch.reported(
-									router.clock(), this.id, Optional.of(new LoadReport(report.incarnation(),
-											report.running(), report.completed(), FakeFleet.this.now - sampled, false)),
-									outbox)));
-				}
+			for (Router router : FakeFleet.this.routers) {
+				at(50 + FakeFleet.this.random.nextInt(50),
+						() -> router.event((dispatch, outbox) -> dispatch.reported(router.clock(), this.id,
+								answers ? Optional.of(aged(report, sampled)) : Optional.empty(), outbox)));
 			}
 			at(100, this::poll);
 		}
