Let each experiment describe the site that it needs

Cause: small calls of 5 to 20 ms drown what a router adds, and only the traffic experiment needs relays. Change: an experiment may describe its site; latency uses calls of 1 to 2 ms.

--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/experiment/ExperimentCommand.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/experiment/ExperimentCommand.java
@@ -90,16 +90,13 @@
 		Experiment experiment = Optional.ofNullable(EXPERIMENTS.get(name))
 			.orElseThrow(() -> new IllegalArgumentException("There is no experiment " + name));
 		System.err.println("Experiment " + name + " on " + deployment.name() + " ...");
-		Site.Builder builder = Site.of(deployment);
+		Site.Builder builder = experiment.site(deployment);
 		if (this.executable != null) {
 			builder = builder.executable(Path.of(this.executable).toAbsolutePath());
 		}
 		if (this.routers > 0) {
 			builder = builder.routers(this.routers);
 		}
-		if (name.equals("traffic")) {
-			builder = builder.relayed();
-		}
 		try (Site site = builder.start()) {
 			Bench bench = new Bench(name, site, this.seconds);
 			experiment.run(bench);
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/experiment/Latency.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/experiment/Latency.java
@@ -10,6 +10,8 @@
 import org.ebonyford.emulator.load.Report;
 import org.ebonyford.emulator.load.Route;
 import org.ebonyford.emulator.load.Verdict;
+import org.ebonyford.emulator.site.Deployment;
+import org.ebonyford.emulator.site.Site;
 
 /**
  * Measures the latency of small calls through a router beside that of direct calls, in
@@ -32,6 +34,13 @@
 	 */
 	private static final long SEED = 13;
 
+	@Override
+	public Site.Builder site(Deployment deployment) {
+		Deployment.Pool engines = deployment.pools().get(0);
+		Deployment.Pool services = deployment.pools().get(1);
+		return Site.of(deployment.withPools(engines, services.with((settings) -> settings.costs(1, 2))));
+	}
+
 	@Override
 	public void run(Bench bench) {
 		List<Route> direct = bench.deployment()
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/experiment/Traffic.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/experiment/Traffic.java
@@ -9,6 +9,7 @@
 import org.ebonyford.emulator.load.Route;
 import org.ebonyford.emulator.site.Deployment;
 import org.ebonyford.emulator.site.Router;
+import org.ebonyford.emulator.site.Site;
 
 /**
  * Measures what routers exchange with each other and with the platform, idle and at a
@@ -31,6 +32,11 @@
 	 */
 	private static final long SEED = 12;
 
+	@Override
+	public Site.Builder site(Deployment deployment) {
+		return Site.of(deployment).relayed();
+	}
+
 	@Override
 	public void run(Bench bench) {
 		Bench.pause(2_000);
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/Site.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/Site.java
@@ -133,6 +133,14 @@
 		return this.deployment;
 	}
 
+	/**
+	 * Returns where settings, published lists and output are.
+	 * @return the directory, which is removed when the site is closed
+	 */
+	public Path directory() {
+		return this.directory;
+	}
+
 	/**
 	 * Returns the stand-ins, which judge.
 	 * @return the stand-ins
