--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/load/CheckingClient.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/load/CheckingClient.java
@@ -23,7 +23,7 @@
 /**
  * A caller that checks every answer.
  */
-public final class CheckingClient implements AutoCloseable {
+public final class CheckingClient implements Sender, AutoCloseable {
 
 	/**
 	 * The threads of the client.
@@ -58,12 +58,7 @@
 	public CheckingClient() {
 	}
 
-	/**
-	 * Sends a request and judges the answer.
-	 * @param route the way that the request takes
-	 * @param spec the request
-	 * @return the judgement, never a failure
-	 */
+	@Override
 	public CompletableFuture<Verdict> send(Route route, CallSpec spec) {
 		Route.Hop hop = route.hop(spec);
 		Timing timing = new Timing(System.currentTimeMillis(), System.nanoTime(), new AtomicLong());
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/load/Load.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/load/Load.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import java.util.function.LongFunction;
 
 import org.ebonyford.emulator.process.Await;
@@ -98,8 +99,20 @@
 	 */
 	public Load backlog(int outstanding, Balancer balancer, LongFunction<CallSpec> specs) {
 		Random draw = new Random(nextSeed());
+		return backlogThrough(outstanding, (spec) -> this.client.send(next(balancer, draw), spec), specs);
+	}
+
+	/**
+	 * Keeps a number of requests open at any time.
+	 * @param outstanding the number of requests
+	 * @param way sends each request
+	 * @param specs makes a request out of its number
+	 * @return this load
+	 */
+	public Load backlogThrough(int outstanding, Function<CallSpec, CompletableFuture<Verdict>> way,
+			LongFunction<CallSpec> specs) {
 		for (int index = 0; index < outstanding; index++) {
-			keepOpen(draw, balancer, specs);
+			keepOpen(way, specs);
 		}
 		return this;
 	}
@@ -111,12 +124,7 @@
 	 * @return the judgement on the answer
 	 */
 	public CompletableFuture<Verdict> send(Route route, CallSpec spec) {
-		this.open.incrementAndGet();
-		return this.client.send(route, spec).thenApply((verdict) -> {
-			this.verdicts.add(verdict);
-			this.open.decrementAndGet();
-			return verdict;
-		});
+		return counted((counted) -> this.client.send(route, counted), spec);
 	}
 
 	/**
@@ -187,20 +195,31 @@
 		}, Math.max(0, next - System.nanoTime()), TimeUnit.NANOSECONDS);
 	}
 
-	private void keepOpen(Random draw, Balancer balancer, LongFunction<CallSpec> specs) {
+	private void keepOpen(Function<CallSpec, CompletableFuture<Verdict>> way, LongFunction<CallSpec> specs) {
 		if (this.stopped) {
 			return;
 		}
-		Route route;
-		synchronized (draw) {
-			route = balancer.next(draw);
-		}
-		send(route, specs.apply(this.sequence.incrementAndGet())).thenAccept((verdict) -> {
+		counted(way, specs.apply(this.sequence.incrementAndGet())).thenAccept((verdict) -> {
 			long pause = verdict.completed() ? 0 : verdict.retryAfterMillis().orElse(REFUSED_PAUSE_MILLIS);
 			if (!this.stopped) {
-				this.scheduler.schedule(() -> keepOpen(draw, balancer, specs), pause, TimeUnit.MILLISECONDS);
+				this.scheduler.schedule(() -> keepOpen(way, specs), pause, TimeUnit.MILLISECONDS);
 			}
 		});
 	}
 
+	private CompletableFuture<Verdict> counted(Function<CallSpec, CompletableFuture<Verdict>> way, CallSpec spec) {
+		this.open.incrementAndGet();
+		return way.apply(spec).thenApply((verdict) -> {
+			this.verdicts.add(verdict);
+			this.open.decrementAndGet();
+			return verdict;
+		});
+	}
+
+	private static Route next(Balancer balancer, Random draw) {
+		synchronized (draw) {
+			return balancer.next(draw);
+		}
+	}
+
 }
