Never end a broken answer cleanly and notice callers that left

Cause: the thin path had no proof of its behaviour under faults.

Ruled out: interim responses as probes, which callers would see; a read interest of Jetty's own end point, which can't be withdrawn and would clash with the next request's.

Change: a timer ends waits for a connection; an answer needs a length or a transfer coding; one monitor thread watches waiting callers' connections and cuts off those that read nothing; a stream resumes after event -1 if none was passed on; a connection that its upstream does not keep is not pooled.

Conclusion: broken, crossed and cut answers are told apart from whole ones. Not yet seen red: late and doubled answers, reuse of connections, large bodies, replay.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/caller/CallerServlet.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/caller/CallerServlet.java
@@ -1,6 +1,7 @@
 package org.ebonyford.router.caller;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -10,6 +11,7 @@
 import java.util.regex.Pattern;
 
 import jakarta.servlet.AsyncContext;
+import jakarta.servlet.ServletException;
 import jakarta.servlet.http.HttpServlet;
 import jakarta.servlet.http.HttpServletRequest;
 import jakarta.servlet.http.HttpServletResponse;
@@ -112,6 +114,11 @@
 	 */
 	private final transient Authenticator authenticator = new Authenticator();
 
+	/**
+	 * Finds callers that left, {@code null} before the servlet is in service.
+	 */
+	private transient ConnectionMonitor monitor;
+
 	/**
 	 * Creates a servlet.
 	 * @param configuration returns the configuration in force, or empty if there is none
@@ -133,6 +140,26 @@
 		this.metrics = metrics;
 	}
 
+	@Override
+	public void init() throws ServletException {
+		try {
+			this.monitor = new ConnectionMonitor(this.settings);
+		}
+		catch (IOException ex) {
+			throw new ServletException("Callers' connections can't be watched", ex);
+		}
+	}
+
+	@Override
+	public void destroy() {
+		try {
+			this.monitor.close();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	@Override
 	protected void service(HttpServletRequest request, HttpServletResponse response) throws IOException {
 		RequestId id = this.ids.get();
@@ -140,6 +167,7 @@
 		context.setTimeout(0);
 		ServletAnswer answer = new ServletAnswer(context, this.clock, () -> leave(id));
 		context.addListener(answer);
+		this.monitor.add(answer);
 		try {
 			Entry entry = admit(id, request);
 			read(entry, request, answer);
--- a/ebonyford-router/src/main/java/org/ebonyford/router/caller/ServletAnswer.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/caller/ServletAnswer.java
@@ -13,6 +13,7 @@
 import jakarta.servlet.WriteListener;
 import jakarta.servlet.http.HttpServletResponse;
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest;
+import org.eclipse.jetty.io.EndPoint;
 
 import org.ebonyford.time.Clock;
 
@@ -38,6 +39,11 @@
 	 */
 	private final Runnable left;
 
+	/**
+	 * Watches the connection until the answer starts.
+	 */
+	private final ConnectionWatch watch;
+
 	/**
 	 * The pieces that wait for the caller's connection.
 	 */
@@ -84,6 +90,15 @@
 		this.context = context;
 		this.clock = clock;
 		this.left = left;
+		this.watch = new ConnectionWatch(endPoint());
+	}
+
+	/**
+	 * Returns what watches the connection until the answer starts.
+	 * @return the watch
+	 */
+	ConnectionWatch watch() {
+		return this.watch;
 	}
 
 	@Override
@@ -271,6 +286,9 @@
 	private void head(int status, List<HeaderField> headers) {
 		HttpServletResponse response = (HttpServletResponse) this.context.getResponse();
 		response.setStatus(status);
+		if (!this.watch.stop()) {
+			response.setHeader("Connection", "close");
+		}
 		for (HeaderField header : headers) {
 			response.addHeader(header.name(), header.value());
 		}
@@ -294,11 +312,15 @@
 	}
 
 	private void disconnect() {
-		ServletContextRequest.getServletContextRequest(this.context.getRequest())
+		this.watch.stop();
+		endPoint().close();
+	}
+
+	private EndPoint endPoint() {
+		return ServletContextRequest.getServletContextRequest(this.context.getRequest())
 			.getConnectionMetaData()
 			.getConnection()
-			.getEndPoint()
-			.close();
+			.getEndPoint();
 	}
 
 	private void complete() {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Exchange.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Exchange.java
@@ -162,7 +162,8 @@
 		}
 		boolean events = value(response, "Content-Type").startsWith(EVENT_STREAM);
 		boolean engineEvents = events && this.pending.content().kind() == Pool.Kind.ENGINE;
-		boolean delimited = details == null || details.isChunked() || details.getContentLength() >= 0;
+		boolean delimited = details == null || details.getContentLength() >= 0
+				|| !value(response, "Transfer-Encoding").isEmpty();
 		if (engineEvents && details == null || !engineEvents && !delimited) {
 			broken();
 			return;
--- a/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Relay.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Relay.java
@@ -34,7 +34,7 @@
 
 	/**
 	 * Returns the number of the last event that was passed on.
-	 * @return the number, or empty if the answer can't be resumed
+	 * @return the number, -1 if no event was, or empty if the answer can't be resumed
 	 */
 	OptionalLong resumePoint();
 
@@ -340,7 +340,7 @@
 
 		@Override
 		public OptionalLong resumePoint() {
-			return this.started ? OptionalLong.of(this.last) : OptionalLong.empty();
+			return OptionalLong.of(this.last);
 		}
 
 		@Override
--- a/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Transfer.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Transfer.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 
 import org.apache.hc.client5.http.nio.AsyncConnectionEndpoint;
+import org.apache.hc.core5.http.ConnectionReuseStrategy;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -14,6 +15,7 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
@@ -27,6 +29,11 @@
  */
 final class Transfer implements AsyncClientExchangeHandler {
 
+	/**
+	 * Tells whether a connection lasts.
+	 */
+	private static final ConnectionReuseStrategy KEEP_ALIVE = DefaultConnectionReuseStrategy.INSTANCE;
+
 	/**
 	 * Where the connection comes from.
 	 */
@@ -77,6 +84,11 @@
 	 */
 	private boolean sent;
 
+	/**
+	 * Whether the upstream keeps the connection after its answer.
+	 */
+	private boolean lasting;
+
 	/**
 	 * Whether nobody wants the answer any more.
 	 */
@@ -194,6 +206,7 @@
 		if (isEnded()) {
 			throw new HttpException("The transfer was abandoned");
 		}
+		this.lasting = KEEP_ALIVE.keepAlive(null, response, context);
 		this.receiver.head(response, details);
 		if (details == null) {
 			streamEnd(List.of());
@@ -233,7 +246,7 @@
 			this.ended = true;
 			ending = release();
 		}
-		if (ending != null && this.sent) {
+		if (ending != null && this.sent && this.lasting) {
 			this.connections.reuse(ending);
 		}
 		else if (ending != null) {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/upstream/UpstreamConnections.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/upstream/UpstreamConnections.java
@@ -1,6 +1,9 @@
 package org.ebonyford.router.upstream;
 
 import java.util.concurrent.CancellationException;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.apache.hc.client5.http.HttpRoute;
@@ -31,6 +34,11 @@
  */
 public final class UpstreamConnections implements AutoCloseable {
 
+	/**
+	 * The milliseconds in which idle connections are closed in an orderly way.
+	 */
+	private static final long SHUTDOWN_MILLIS = 200;
+
 	/**
 	 * The bounds on the connections.
 	 */
@@ -46,12 +54,20 @@
 	 */
 	private final MinimalHttpAsyncClient client;
 
+	/**
+	 * Ends waits for a connection, since the pool looks at its waits only when a
+	 * connection comes back.
+	 */
+	private final ScheduledExecutorService scheduler;
+
 	/**
 	 * Creates a pool without connections and starts its threads.
 	 * @param settings the bounds on the connections
+	 * @param scheduler ends waits for a connection
 	 */
-	public UpstreamConnections(UpstreamSettings settings) {
+	public UpstreamConnections(UpstreamSettings settings, ScheduledExecutorService scheduler) {
 		this.settings = settings;
+		this.scheduler = scheduler;
 		this.pool = pool(settings);
 		IOReactorConfig reactor = IOReactorConfig.custom()
 			.setIoThreadCount(settings.ioThreads())
@@ -70,13 +86,16 @@
 	 */
 	void lease(HttpHost host, Consumer<AsyncConnectionEndpoint> leased, Consumer<Exception> failed) {
 		Timeout wait = Timeout.ofMilliseconds(this.settings.poolWaitMillis());
-		this.pool.lease("", new HttpRoute(host), null, wait, new Callback(failed, (endpoint) -> {
+		Future<?> lease = this.pool.lease("", new HttpRoute(host), null, wait, new Callback(failed, (endpoint) -> {
 			if (endpoint.isConnected()) {
 				activate(endpoint, leased);
 				return;
 			}
 			connect(endpoint, leased, failed);
 		}));
+		if (!lease.isDone()) {
+			this.scheduler.schedule(() -> lease.cancel(true), this.settings.poolWaitMillis(), TimeUnit.MILLISECONDS);
+		}
 	}
 
 	/**
@@ -98,7 +117,14 @@
 
 	@Override
 	public void close() {
-		this.client.close(CloseMode.GRACEFUL);
+		this.client.initiateShutdown();
+		try {
+			this.client.awaitShutdown(TimeValue.ofMilliseconds(SHUTDOWN_MILLIS));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		this.client.close(CloseMode.IMMEDIATE);
 	}
 
 	private void connect(AsyncConnectionEndpoint endpoint, Consumer<AsyncConnectionEndpoint> leased,
--- a/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerServer.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerServer.java
@@ -142,7 +142,7 @@
 		AtomicLong numbers = new AtomicLong();
 		this.decisions = decisions;
 		this.pending = new PendingRequests(callers);
-		this.connections = new UpstreamConnections(upstreams);
+		this.connections = new UpstreamConnections(upstreams, this.scheduler);
 		this.exchanges = new Exchanges(this.connections, upstreams, this.pending, metrics, clock, this::take,
 				this.scheduler);
 		HttpConfiguration http = new HttpConfiguration();
@@ -303,6 +303,16 @@
 		return await(Event.ExchangeEnded.class, (event) -> true);
 	}
 
+	/**
+	 * Waits for the end of the exchange of a request.
+	 * @param request the name of the request
+	 * @return the first end
+	 * @throws InterruptedException if the test ends
+	 */
+	public Event.ExchangeEnded awaitEnd(String request) throws InterruptedException {
+		return await(Event.ExchangeEnded.class, (event) -> event.request().value().equals(request));
+	}
+
 	/**
 	 * Carries out an effect.
 	 * @param effect the effect
