Refuse the request that crashes each upstream which runs it

Cause: a caller sends again what crashed an upstream, and takes the next one. A router sees only which requests an upstream was running.

Change: Suspects shares each crash's blame by the third power of the crashes a request took part in, clears what completes, strikes out a crash whose upstream reports the same incarnation afterwards, and judges 200 ms after the last news. Crash goes to all peers. Of the numbers of running requests that a router tells for one crash the largest counts, since its exchanges end one after another.

--- /dev/null
+++ b/ebonyford/src/test/java/org/ebonyford/suspect/SuspectsTest.java
@@ -0,0 +1,129 @@
+package org.ebonyford.suspect;
+
+import java.util.List;
+import java.util.Set;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import org.ebonyford.effect.Effect;
+import org.ebonyford.effect.Outbox;
+import org.ebonyford.identity.Fingerprint;
+import org.ebonyford.identity.UpstreamId;
+import org.ebonyford.identity.VmId;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests {@link Suspects}.
+ */
+public class SuspectsTest {
+
+	private static final int SEEDS = 200;
+
+	private static final long SETTLE = SuspectSettings.DEFAULT.settleMillis();
+
+	private static final Fingerprint REQUEST = new Fingerprint("f");
+
+	private static final UpstreamId FIRST = new UpstreamId("u1");
+
+	private static final UpstreamId SECOND = new UpstreamId("u2");
+
+	private final Outbox outbox = new Outbox();
+
+	@Test
+	public void testTwoCrashesAloneAreRefused() {
+		Suspects suspects = new Suspects(SuspectSettings.DEFAULT);
+		suspects.crashed(0, REQUEST, FIRST, 1, 1, this.outbox);
+		assertFalse(judged(suspects, 0));
+		suspects.crashed(1, REQUEST, FIRST, 2, 1, this.outbox);
+		assertTrue(judged(suspects, 1));
+	}
+
+	@Test
+	public void testOneCrashCountsOnceHoweverOftenItIsTold() {
+		Suspects suspects = new Suspects(SuspectSettings.DEFAULT);
+		suspects.crashed(0, REQUEST, FIRST, 1, 1, this.outbox);
+		suspects.crashed(0, REQUEST, FIRST, 1, 1, this.outbox);
+		assertFalse(judged(suspects, 0));
+	}
+
+	@Test
+	public void testSuspicionEnds() {
+		Suspects suspects = suspecting();
+		long end = SuspectSettings.DEFAULT.timeMillis() + SETTLE;
+		suspects.tick(end, this.outbox);
+		assertFalse(suspects.suspected(end, REQUEST));
+		suspects.crashed(end, REQUEST, FIRST, 3, 1, this.outbox);
+		assertFalse(judged(suspects, end));
+	}
+
+	@Test
+	public void testCompletedRequestIsCleared() {
+		Suspects suspects = suspecting();
+		suspects.completed(SETTLE, REQUEST);
+		assertFalse(suspects.suspected(SETTLE, REQUEST));
+	}
+
+	@Test
+	public void testBrokenConnectionToALivingUpstreamIsNoCrash() {
+		Suspects suspects = new Suspects(SuspectSettings.DEFAULT);
+		suspects.crashed(0, REQUEST, FIRST, 1, 1, this.outbox);
+		suspects.reported(2, FIRST, 1, 1);
+		suspects.crashed(3, REQUEST, SECOND, 1, 1, this.outbox);
+		assertFalse(judged(suspects, 3));
+	}
+
+	@Test
+	public void testReportFromBeforeTheCrashClearsNothing() {
+		Suspects suspects = new Suspects(SuspectSettings.DEFAULT);
+		suspects.crashed(5, REQUEST, FIRST, 1, 1, this.outbox);
+		suspects.reported(6, FIRST, 1, 4);
+		suspects.crashed(7, REQUEST, SECOND, 1, 1, this.outbox);
+		assertTrue(judged(suspects, 7));
+	}
+
+	@Test
+	public void testAllPeersAreTold() {
+		Suspects suspects = new Suspects(SuspectSettings.DEFAULT);
+		suspects.peers(Set.of(new VmId("a"), new VmId("b")));
+		suspects.crashed(0, REQUEST, FIRST, 1, 1, this.outbox);
+		List<Effect> effects = this.outbox.drain();
+		assertEquals(effects.stream().filter(Effect.ToPeer.class::isInstance).count(), 2);
+	}
+
+	@DataProvider
+	public Object[][] loads() {
+		return new Object[][] { { 0, 0.0, 2 }, { 1, 0.0, 3 }, { 7, 0.0, 3 }, { 7, 0.5, 5 }, { 7, 1.0, 6 },
+				{ 31, 0.0, 4 }, { 31, 1.0, 8 } };
+	}
+
+	@Test(dataProvider = "loads")
+	public void testCrashingRequestIsFoundAndBystandersAreNotRefused(int load, double retries, int most) {
+		int worst = 0;
+		long bystanders = 0;
+		for (int seed = 0; seed < SEEDS; seed++) {
+			CrashModel model = new CrashModel(seed, load, retries);
+			worst = Math.max(worst, model.crashesUntilRefused(50));
+			bystanders += model.bystanders();
+		}
+		assertTrue(worst <= most, "crashes " + worst);
+		assertEquals(bystanders, 0);
+	}
+
+	private Suspects suspecting() {
+		Suspects suspects = new Suspects(SuspectSettings.DEFAULT);
+		suspects.crashed(0, REQUEST, FIRST, 1, 1, this.outbox);
+		suspects.crashed(0, REQUEST, SECOND, 1, 1, this.outbox);
+		assertTrue(judged(suspects, 0));
+		return suspects;
+	}
+
+	private boolean judged(Suspects suspects, long now) {
+		suspects.tick(now + SETTLE, this.outbox);
+		return suspects.suspected(now + SETTLE, REQUEST);
+	}
+
+}
