--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/RouterModule.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/RouterModule.java
@@ -204,8 +204,8 @@
 
 	@Provides
 	@Singleton
-	UpstreamConnections upstreamConnections() {
-		return new UpstreamConnections(this.mapping.upstreams());
+	UpstreamConnections upstreamConnections(ScheduledExecutorService scheduler) {
+		return new UpstreamConnections(this.mapping.upstreams(), scheduler);
 	}
 
 	@Provides
--- a/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
+++ b/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
@@ -294,7 +294,7 @@
 			.forEach((vm) -> this.dispatch.peerLost(now, vm, this.outbox));
 		this.dispatch.tick(now, this.outbox);
 		this.claims.tick(now, tick.epochMillis(), this.outbox);
-		this.suspects.tick(now);
+		this.suspects.tick(now, this.outbox);
 		this.control.tick(now, tick.epochMillis(), this.outbox);
 		this.lifecycle.judge(obstacle(), this.outbox);
 		this.lifecycle.tick(now, idle(), this.outbox);
@@ -435,6 +435,7 @@
 
 	private void noteReport(long now, UpstreamId upstream, LoadReport report) {
 		this.upstreamIncarnations.put(upstream, report.incarnation());
+		this.suspects.reported(now, upstream, report.incarnation(), now - report.ageMillis());
 		boolean changed = report.leaving() ? this.leaving.add(upstream) : this.leaving.remove(upstream);
 		if (changed) {
 			if (report.leaving()) {
@@ -475,7 +476,7 @@
 	private void forward(Event.MessageReceived event) {
 		PeerMessage message = event.message();
 		if (message instanceof PeerMessage.Crash crash) {
-			this.suspects.received(event.at(), event.from(), crash, this.outbox);
+			this.suspects.received(event.at(), event.from(), crash);
 		}
 		else if (message instanceof PeerMessage.ClaimQuery || message instanceof PeerMessage.ClaimStatus) {
 			this.claims.received(event.at(), event.from(), message, this.outbox);
