Fairness: keep every account in one ordered set only

Ruled out: a lazily sorted heap, which would need a second structure for the largest place. Change: accounts that wait here and those that wait elsewhere only are kept in two disjoint sets, compared without boxed keys.

--- a/ebonyford/src/main/java/org/ebonyford/fairness/ServiceLedger.java
+++ b/ebonyford/src/main/java/org/ebonyford/fairness/ServiceLedger.java
@@ -28,8 +28,7 @@
 	/**
 	 * Orders accounts by their place in the order of service.
 	 */
-	private static final Comparator<Account> BY_PLACE = Comparator.comparingDouble(Account::place)
-		.thenComparing(Account::organisation);
+	private static final Comparator<Account> BY_PLACE = ServiceLedger::compare;
 
 	/**
 	 * This process.
@@ -57,9 +56,9 @@
 	private final TreeSet<Account> waiting = new TreeSet<>(BY_PLACE);
 
 	/**
-	 * The accounts with requests that wait anywhere in the fleet.
+	 * The accounts with requests that wait only as far as other routers know.
 	 */
-	private final TreeSet<Account> backlogged = new TreeSet<>(BY_PLACE);
+	private final TreeSet<Account> elsewhere = new TreeSet<>(BY_PLACE);
 
 	/**
 	 * The accounts that changed here since the last gossip.
@@ -287,46 +286,66 @@
 	}
 
 	private void update(Account account, Runnable change) {
-		boolean waits = this.waiting.remove(account);
-		boolean backlog = this.backlogged.remove(account);
+		remove(account);
 		change.run();
-		if (waits) {
-			this.waiting.add(account);
-		}
-		if (backlog) {
-			this.backlogged.add(account);
-		}
+		add(account);
 		this.highest = Math.max(this.highest, account.virtualService());
 	}
 
 	private void backlog(long now, Account account, Runnable change) {
 		boolean before = account.backlogged();
+		remove(account);
 		change.run();
 		boolean after = account.backlogged();
 		if (after && !before) {
 			arrive(now, account);
 		}
 		if (before && !after) {
-			this.backlogged.remove(account);
 			account.idleSince(now);
 		}
+		add(account);
+	}
+
+	private void remove(Account account) {
+		if (account.waiting()) {
+			this.waiting.remove(account);
+		}
+		else if (account.backlogged()) {
+			this.elsewhere.remove(account);
+		}
+	}
+
+	private void add(Account account) {
 		if (account.waiting()) {
 			this.waiting.add(account);
 		}
-		else {
-			this.waiting.remove(account);
+		else if (account.backlogged()) {
+			this.elsewhere.add(account);
 		}
 	}
 
 	private void arrive(long now, Account account) {
 		if (this.informed && account.idleFor(now, this.idleMillis)) {
-			long least = this.backlogged.isEmpty() ? this.highest : this.backlogged.first().virtualService();
+			long least = least();
 			if (account.virtualService() < least) {
 				account.raiseLift(account.lift() + least - account.virtualService());
 				this.changed.add(account);
 			}
 		}
-		this.backlogged.add(account);
+	}
+
+	private long least() {
+		if (this.waiting.isEmpty() && this.elsewhere.isEmpty()) {
+			return this.highest;
+		}
+		long here = this.waiting.isEmpty() ? Long.MAX_VALUE : this.waiting.first().virtualService();
+		long there = this.elsewhere.isEmpty() ? Long.MAX_VALUE : this.elsewhere.first().virtualService();
+		return Math.min(here, there);
+	}
+
+	private static int compare(Account one, Account other) {
+		int places = Double.compare(one.place(), other.place());
+		return (places != 0) ? places : one.organisation().compareTo(other.organisation());
 	}
 
 	private void liftTo(Account account, long virtualService) {
