Dispatch: test faults and fairness beside naive fleets

Cause: that no limit is exceeded, no slot lost and no organisation starved was shown by trials only. Change: differential tests through the fake fleet (seeded, in memory); a bound on idle time may be the largest number, which switches lifts off for the naive version. Ruled out: a lift that a new organisation gets only where it was seen before, which gives it all of the past at other routers.

--- a/ebonyford/src/main/java/org/ebonyford/dispatch/DispatchSettings.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/DispatchSettings.java
@@ -75,6 +75,15 @@
 		return new DispatchSettings(this.times, this.retries, this.debtRounds, this.warmUp, this.slotOwners, value);
 	}
 
+	/**
+	 * Returns settings with another bound on debt.
+	 * @param value the number of times that a debt may fill all slots of the pool
+	 * @return the settings
+	 */
+	public DispatchSettings withDebtRounds(int value) {
+		return new DispatchSettings(this.times, this.retries, value, this.warmUp, this.slotOwners, this.ownerSelection);
+	}
+
 	/**
 	 * Bounds in time, all in milliseconds.
 	 *
@@ -92,7 +101,8 @@
 	 * @param stale the age of a load report beyond which an upstream counts as cold
 	 * @param lost the age of a load report beyond which an upstream gets no work
 	 * @param gossip the period in which changed service totals are sent
-	 * @param idle how long an organisation without backlog keeps its place
+	 * @param idle how long an organisation without backlog keeps its place, the largest
+	 * number for ever
 	 * @param demand the shortest time between two demands to one owner
 	 * @param refresh the longest time between two demands to one owner while requests
 	 * wait
@@ -122,6 +132,17 @@
 			return new Times(1_000, 8_000, 2_200, 1_000, 3_500, 30_000, 1_000, 600, 5_000, 250, 1_000, 5, 250, 5);
 		}
 
+		/**
+		 * Returns bounds with another time until an organisation counts as idle.
+		 * @param value the milliseconds
+		 * @return the bounds
+		 */
+		public Times withIdle(long value) {
+			return new Times(this.grantValidity, this.handover, this.startUp, this.confirmation, this.silence,
+					this.orphan, this.abandoned, this.stale, this.lost, this.gossip, value, this.demand, this.refresh,
+					this.escalation);
+		}
+
 		private static void require(boolean condition, String message) {
 			if (!condition) {
 				throw new IllegalArgumentException(message);
--- a/ebonyford/src/main/java/org/ebonyford/fairness/Account.java
+++ b/ebonyford/src/main/java/org/ebonyford/fairness/Account.java
@@ -173,7 +173,7 @@
 	}
 
 	boolean idleFor(long now, long millis) {
-		return this.idleSince == Long.MIN_VALUE || now - this.idleSince >= millis;
+		return millis != Long.MAX_VALUE && (this.idleSince == Long.MIN_VALUE || now - this.idleSince >= millis);
 	}
 
 	void idleSince(long now) {
--- a/ebonyford/src/test/java/org/ebonyford/dispatch/DispatchTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/dispatch/DispatchTest.java
@@ -16,7 +16,8 @@
 
 	@Test
 	public void testEveryRequestIsServedInAFleet() {
-		FakeFleet fleet = new FakeFleet(1, DispatchSettings.defaults(), POOL, 7, 6).organisation("one", 1).start();
+		FakeFleet fleet = new FakeFleet(1, (router) -> DispatchSettings.defaults(), POOL, 7, 6).organisation("one", 1)
+			.start();
 		for (int router = 0; router < 7; router++) {
 			fleet.arrivals("one", router, 10, 1, 20_000);
 		}
--- a/ebonyford/src/test/java/org/ebonyford/dispatch/FakeFleet.java
+++ b/ebonyford/src/test/java/org/ebonyford/dispatch/FakeFleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
@@ -16,6 +17,7 @@
 import java.util.TreeSet;
 import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
+import java.util.function.IntFunction;
 import java.util.function.LongConsumer;
 
 import org.ebonyford.configuration.Configuration;
@@ -40,6 +42,7 @@
 import org.ebonyford.request.Ending;
 import org.ebonyford.request.Request;
 import org.ebonyford.topology.Topology;
+import org.ebonyford.warmup.WarmUp;
 
 /**
  * Delivers events, messages and exchanges with delays between several {@link Dispatch}
@@ -53,6 +56,9 @@
 
 	private static final long DETECTION_MILLIS = 500;
 
+	/** The samples of 10 ms in 10 s. */
+	private static final int WINDOW_SAMPLES = 1_000;
+
 	final List<Router> routers = new ArrayList<>();
 
 	final List<Engine> engines = new ArrayList<>();
@@ -78,12 +84,18 @@
 	/** The largest number of requests above what an engine bore. */
 	int excess;
 
+	/** Whether all requests come in the name of one organisation. */
+	boolean anonymous;
+
 	/** Whether an engine goes on with a request whose router is gone. */
 	boolean lingering;
 
 	private final Random random;
 
-	private final DispatchSettings settings;
+	/** How the engines warm up in truth. */
+	private final WarmUp truth = new WarmUp.ForCompletions(DispatchSettings.DEFAULT_COMPLETIONS_PER_STEP);
+
+	private final IntFunction<DispatchSettings> settings;
 
 	private final Pool pool;
 
@@ -102,7 +114,7 @@
 
 	private long sequence;
 
-	FakeFleet(long seed, DispatchSettings settings, Pool pool, int routers, int engines) {
+	FakeFleet(long seed, IntFunction<DispatchSettings> settings, Pool pool, int routers, int engines) {
 		this.random = new Random(seed);
 		this.settings = settings;
 		this.pool = pool;
@@ -167,7 +179,8 @@
 		RequestId id = new RequestId("r" + this.requests++);
 		Work job = new Work(organisation(organisation), cost, entry, entry.generation);
 		this.work.put(id, job);
-		entry.event((dispatch, outbox) -> dispatch.enqueue(entry.clock(), new Request(id, job.organisation, POOL,
+		OrganisationId caller = this.anonymous ? organisation("all") : job.organisation;
+		entry.event((dispatch, outbox) -> dispatch.enqueue(entry.clock(), new Request(id, caller, POOL,
 				new RequestClass("chat"), hint, entry.clock() + 600_000, Optional.empty(), new Fingerprint("f")),
 				outbox));
 	}
@@ -199,6 +212,49 @@
 		this.routers.forEach(Router::readList);
 	}
 
+	/** Returns the share of all slots that are in use while time goes on. */
+	double utilisation(long millis) {
+		long[] used = new long[2];
+		int slots = this.engines.size() * this.pool.warmLimit();
+		run(millis, (at) -> {
+			used[0] += running();
+			used[1] += slots;
+		});
+		return (double) used[0] / used[1];
+	}
+
+	/** Returns the largest gap of virtual service over any 10 s while time goes on. */
+	long gap(long millis, String... organisations) {
+		List<long[]> history = new ArrayList<>();
+		run(millis, (at) -> history.add(Arrays.stream(organisations).mapToLong(this::virtual).toArray()));
+		long gap = 0;
+		for (int from = 0; from < history.size(); from++) {
+			int last = Math.min(from + WINDOW_SAMPLES, history.size() - 1);
+			for (int to = from + 1; to <= last; to++) {
+				gap = Math.max(gap, spread(history.get(from), history.get(to)));
+			}
+		}
+		return gap;
+	}
+
+	private static long spread(long[] from, long[] to) {
+		long least = Long.MAX_VALUE;
+		long most = Long.MIN_VALUE;
+		for (int index = 0; index < from.length; index++) {
+			least = Math.min(least, to[index] - from[index]);
+			most = Math.max(most, to[index] - from[index]);
+		}
+		return most - least;
+	}
+
+	/** Returns the slots that nobody can use at present. */
+	int blocked() {
+		return this.routers.stream()
+			.filter((router) -> router.alive)
+			.mapToInt((router) -> this.engines.stream().mapToInt((engine) -> router.dispatch.blocked(engine.id)).sum())
+			.sum();
+	}
+
 	int running() {
 		return this.engines.stream().mapToInt((engine) -> engine.running.size()).sum();
 	}
@@ -320,7 +376,7 @@
 			this.offset = FakeFleet.this.random.nextInt(1_000_000);
 			this.frozen.clear();
 			this.freezing = false;
-			this.dispatch = new Dispatch(FakeFleet.this.settings, self());
+			this.dispatch = new Dispatch(FakeFleet.this.settings.apply(this.index), self());
 			readList();
 			tick(this.generation);
 			beat(this.generation);
@@ -334,7 +390,7 @@
 
 		void kill() {
 			this.alive = false;
-			this.dispatch = new Dispatch(FakeFleet.this.settings, self());
+			this.dispatch = new Dispatch(FakeFleet.this.settings.apply(this.index), self());
 			if (!FakeFleet.this.lingering) {
 				FakeFleet.this.engines.forEach((engine) -> engine.disconnect(this));
 			}
@@ -486,7 +542,7 @@
 		}
 
 		int bears() {
-			return FakeFleet.this.settings.warmUp().limit(FakeFleet.this.pool, this.completed);
+			return FakeFleet.this.truth.limit(FakeFleet.this.pool, this.completed);
 		}
 
 		private void run(RequestId request, Router router) {
