--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Announcements.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Announcements.java
@@ -116,12 +116,11 @@
 	}
 
 	private void gossip(Outbox outbox) {
-		List<VmId> peers = this.fleet.peers();
 		for (PoolState pool : this.fleet.pools()) {
 			List<Service.Row> rows = pool.ledger().drainChanges();
 			if (!rows.isEmpty()) {
 				Service service = new Service(this.fleet.self(), pool.pool().id(), rows);
-				peers.forEach((peer) -> outbox.add(new Effect.ToPeer(peer, service)));
+				pool.owners().forEach((peer) -> outbox.add(new Effect.ToPeer(peer, service)));
 			}
 		}
 	}
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Dispatch.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Dispatch.java
@@ -189,13 +189,14 @@
 	 */
 	public void peerSeen(long now, Incarnation peer, Outbox outbox) {
 		Incarnation former = this.seen.put(peer.vm(), peer);
-		this.fleet.reachable(peer.vm(), true);
-		if (peer.equals(former)) {
-			return;
-		}
-		if (former != null) {
+		boolean returned = this.fleet.reachable(peer.vm(), true);
+		boolean restarted = !peer.equals(former);
+		if (restarted && former != null) {
 			this.owner.lost(now, peer.vm());
 		}
+		if (!restarted && !returned) {
+			return;
+		}
 		this.fleet.pools().forEach((pool) -> pool.sender().forget(peer.vm()));
 		this.announcements.welcome(peer.vm(), outbox);
 		this.announcements.occupied(now, outbox);
@@ -221,7 +222,7 @@
 	 */
 	public void tick(long now, Outbox outbox) {
 		if (this.fleet.startedUp(now)) {
-			this.fleet.pools().forEach((pool) -> pool.ledger().informed());
+			this.fleet.pools().stream().filter(PoolState::owned).forEach((pool) -> pool.ledger().informed());
 		}
 		this.announcements.tick(now, outbox).ifPresent((own) -> this.owner.occupied(now, self().vm(), own));
 		this.owner.tick(now);
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Entry.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Entry.java
@@ -115,9 +115,10 @@
 	 * @param organisation the organisation
 	 * @param permission the permission to send it
 	 * @param outbox takes the request
-	 * @return whether a request was waiting
+	 * @return whether a request was waiting whose deadline has not passed
 	 */
 	boolean start(long now, PoolState pool, OrganisationId organisation, Permission permission, Outbox outbox) {
+		expire(now, pool, outbox);
 		Optional<Waiting> first = pool.queue().poll(organisation);
 		if (first.isEmpty()) {
 			return false;
@@ -167,13 +168,7 @@
 	 */
 	void expire(long now, Outbox outbox) {
 		for (PoolState pool : this.fleet.pools()) {
-			boolean open = pool.open();
-			pool.queue().expire(open ? now : Long.MAX_VALUE, (gone) -> {
-				this.waiting.remove(gone.request().id());
-				pool.queueChanged(now, gone.request().organisation());
-				RefusalReason reason = open ? RefusalReason.DEADLINE : RefusalReason.NO_UPSTREAM;
-				refuse(gone.request().id(), reason, gone.outcome(), outbox);
-			});
+			expire(now, pool, outbox);
 		}
 	}
 
@@ -204,6 +199,16 @@
 		return this.waiting.size();
 	}
 
+	private void expire(long now, PoolState pool, Outbox outbox) {
+		boolean open = pool.open();
+		pool.queue().expire(open ? now : Long.MAX_VALUE, (gone) -> {
+			this.waiting.remove(gone.request().id());
+			pool.queueChanged(now, gone.request().organisation());
+			RefusalReason reason = open ? RefusalReason.DEADLINE : RefusalReason.NO_UPSTREAM;
+			refuse(gone.request().id(), reason, gone.outcome(), outbox);
+		});
+	}
+
 	private Optional<RefusalReason> refusal(long now, Request request, Optional<PoolState> pool) {
 		if (pool.isEmpty()) {
 			return Optional.of(this.fleet.topology().isEmpty() ? RefusalReason.NOT_READY : RefusalReason.NO_SUCH_POOL);
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Fleet.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Fleet.java
@@ -135,8 +135,9 @@
 	 * Takes in whether a router can be reached.
 	 * @param vm the VM of the router
 	 * @param reachable whether it can be reached
+	 * @return whether this is news
 	 */
-	void reachable(VmId vm, boolean reachable) {
+	boolean reachable(VmId vm, boolean reachable) {
 		boolean changed = reachable ? this.lost.remove(vm) : this.lost.add(vm);
 		if (!reachable) {
 			this.revisions.remove(vm);
@@ -144,6 +145,7 @@
 		if (changed && this.topology != null) {
 			selectOwners();
 		}
+		return changed;
 	}
 
 	/**
@@ -228,10 +230,10 @@
 		}
 		state.configure(upstream, pool.pool(), this.topology.open(upstream.id()));
 		pool.upstreams().add(state);
-		assign(state, owners(upstream.id(), pool.pool().warmLimit(), candidates), move, moved);
+		assign(state, owners(upstream, pool.pool().warmLimit(), candidates), move, moved);
 	}
 
-	private VmId[] owners(UpstreamId upstream, int slots, List<VmId> candidates) {
+	private VmId[] owners(Upstream upstream, int slots, List<VmId> candidates) {
 		VmId[] owners = new VmId[slots];
 		for (int slot = 0; slot < slots; slot++) {
 			owners[slot] = this.settings.slotOwners().owner(upstream, slot, candidates).orElse(null);
@@ -272,7 +274,7 @@
 				}
 			}
 			far.removeAll(near);
-			pool.sender().owners(List.copyOf(near), List.copyOf(far));
+			pool.owners(List.copyOf(near), List.copyOf(far));
 		}
 	}
 
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Owner.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Owner.java
@@ -23,6 +23,16 @@
  */
 final class Owner {
 
+	/**
+	 * The milliseconds for which the end of a grant is awaited that occupies no slot.
+	 */
+	private static final long KEEP_MILLIS = 600_000;
+
+	/**
+	 * How often slots and demand are looked through in the period of confirmations.
+	 */
+	private static final int TICKS = 10;
+
 	/**
 	 * The pools, the upstreams and the other routers.
 	 */
@@ -43,6 +53,12 @@
 	 */
 	private long sequence;
 
+	/**
+	 * The clock reading in milliseconds at which slots and demand are looked through
+	 * next.
+	 */
+	private long tickAt;
+
 	/**
 	 * Whether the router stood still and has not got a fresh topology since.
 	 */
@@ -177,6 +193,11 @@
 	 */
 	void tick(long now) {
 		DispatchSettings.Times times = this.fleet.settings().times();
+		if (now < this.tickAt) {
+			return;
+		}
+		this.tickAt = now + times.confirmation() / TICKS;
+		this.charges.values().removeIf((charge) -> charge.forgotten(now - KEEP_MILLIS));
 		for (PoolState pool : this.fleet.pools()) {
 			for (UpstreamState upstream : pool.upstreams()) {
 				upstream.slots().tick(now, times.silence(), pool.orphanMillis(times));
@@ -242,11 +263,13 @@
 		int slot = upstream.freeSlot(now);
 		long cost = account.estimate().estimate(turn.hint());
 		upstream.slots().occupy(slot, new Occupant(grant, organisation, turn.entry(), now, now + validity));
-		this.charges.put(grant.sequence(), new Charge(pool, account, upstream, slot, turn.hint(), cost));
+		this.charges.put(grant.sequence(), new Charge(grant, now, pool, account, upstream, slot, turn.hint(), cost));
 		pool.ledger().charge(account, cost);
 		if (turn.entry().equals(this.fleet.self().vm())) {
-			this.entry.start(now, pool, organisation, new Entry.Permission(grant, upstream, slot, now + validity),
-					outbox);
+			Entry.Permission permission = new Entry.Permission(grant, upstream, slot, now + validity);
+			if (!this.entry.start(now, pool, organisation, permission, outbox)) {
+				ended(now, grant, Ending.NOT_SENT, 0, outbox);
+			}
 		}
 		else {
 			outbox.add(new Effect.ToPeer(turn.entry(),
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
@@ -59,6 +59,11 @@
 	 */
 	private List<UpstreamState> upstreams = new ArrayList<>();
 
+	/**
+	 * The other owners of slots that can be reached.
+	 */
+	private List<VmId> owners = List.of();
+
 	/**
 	 * The pool's entry in the configuration.
 	 */
@@ -115,6 +120,38 @@
 		this.upstreams = new ArrayList<>();
 	}
 
+	/**
+	 * Sets the other owners of slots that can be reached.
+	 * @param near those of slots in the own data centre
+	 * @param far those of slots in other data centres only
+	 */
+	void owners(List<VmId> near, List<VmId> far) {
+		this.sender.owners(near, far);
+		this.owners = new ArrayList<>(near);
+		this.owners.addAll(far);
+	}
+
+	/**
+	 * Returns the other owners of slots that can be reached.
+	 * @return the VMs of the routers
+	 */
+	List<VmId> owners() {
+		return this.owners;
+	}
+
+	/**
+	 * Returns whether this router owns slots of the pool.
+	 * @return whether it owns at least one
+	 */
+	boolean owned() {
+		for (UpstreamState upstream : this.upstreams) {
+			if (upstream.slots().owned() > 0) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	boolean open() {
 		for (UpstreamState upstream : this.upstreams) {
 			if (upstream.open()) {
--- a/ebonyford/src/main/java/org/ebonyford/slot/SlotOwners.java
+++ b/ebonyford/src/main/java/org/ebonyford/slot/SlotOwners.java
@@ -1,9 +1,11 @@
 package org.ebonyford.slot;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
-import org.ebonyford.identity.UpstreamId;
+import org.ebonyford.configuration.Upstream;
 import org.ebonyford.identity.VmId;
 
 /**
@@ -20,7 +22,7 @@
 	 * @param candidates the VMs that may own slots of the upstream
 	 * @return the owner, or empty if there is no candidate
 	 */
-	Optional<VmId> owner(UpstreamId upstream, int slot, List<VmId> candidates);
+	Optional<VmId> owner(Upstream upstream, int slot, List<VmId> candidates);
 
 	/**
 	 * Takes the candidate with the highest hash, so that a change of the candidates moves
@@ -49,12 +51,12 @@
 		private static final int SHIFT = 33;
 
 		@Override
-		public Optional<VmId> owner(UpstreamId upstream, int slot, List<VmId> candidates) {
+		public Optional<VmId> owner(Upstream upstream, int slot, List<VmId> candidates) {
 			VmId best = null;
 			long highest = 0;
-			long key = mix(upstream.value().hashCode() * FIRST_MULTIPLIER + slot);
+			long key = mix(upstream.id().value().hashCode() * FIRST_MULTIPLIER + slot);
 			for (VmId candidate : candidates) {
-				long hash = mix(key ^ (candidate.value().hashCode() * SECOND_MULTIPLIER));
+				long hash = weigh(key, candidate);
 				if (best == null || hash > highest || (hash == highest && candidate.compareTo(best) < 0)) {
 					best = candidate;
 					highest = hash;
@@ -63,6 +65,10 @@
 			return Optional.ofNullable(best);
 		}
 
+		private static long weigh(long key, VmId candidate) {
+			return mix(key ^ (candidate.value().hashCode() * SECOND_MULTIPLIER));
+		}
+
 		private static long mix(long value) {
 			long mixed = value;
 			mixed = (mixed ^ (mixed >>> SHIFT)) * FIRST_MULTIPLIER;
@@ -72,4 +78,34 @@
 
 	}
 
+	/**
+	 * Spreads the slots of each pool over a few routers of a data centre, so that in a
+	 * large fleet each router shares the state of few pools with few others.
+	 *
+	 * @param count how many routers own the slots of a pool
+	 */
+	record ForFewOwners(int count) implements SlotOwners {
+
+		/**
+		 * Creates a decision.
+		 * @throws IllegalArgumentException if the count is less than 1
+		 */
+		public ForFewOwners {
+			if (count < 1) {
+				throw new IllegalArgumentException("A pool needs at least 1 owner");
+			}
+		}
+
+		@Override
+		public Optional<VmId> owner(Upstream upstream, int slot, List<VmId> candidates) {
+			long key = ForRendezvousHash.mix(upstream.pool().value().hashCode());
+			List<VmId> ranked = new ArrayList<>(candidates);
+			ranked.sort(Comparator.comparingLong((VmId candidate) -> ForRendezvousHash.weigh(key, candidate))
+				.thenComparing(Comparator.naturalOrder()));
+			List<VmId> few = ranked.subList(0, Math.min(this.count, ranked.size()));
+			return ForRendezvousHash.INSTANCE.owner(upstream, slot, few);
+		}
+
+	}
+
 }
