--- a/ebonyford/src/main/java/org/ebonyford/effect/Effect.java
+++ b/ebonyford/src/main/java/org/ebonyford/effect/Effect.java
@@ -7,6 +7,7 @@
 import org.ebonyford.configuration.Configuration;
 import org.ebonyford.control.ControlRecord;
 import org.ebonyford.control.ControlState;
+import org.ebonyford.evidence.EvidenceBatch;
 import org.ebonyford.identity.RequestId;
 import org.ebonyford.identity.UpstreamId;
 import org.ebonyford.identity.VmId;
@@ -100,6 +101,15 @@
 
 	}
 
+	/**
+	 * Append evidence to the evidence stream.
+	 *
+	 * @param batch the evidence
+	 */
+	record AppendEvidence(EvidenceBatch batch) implements Effect {
+
+	}
+
 	/**
 	 * Tell the platform's balancer whether the router takes requests.
 	 *
