Answer requests that wait for a claim at their deadline

Cause: the reducer leaves the deadlines of requests with a key to Claims, and Claims answered a waiting repeat only after join (30 s), whatever its deadline.

Ruled out: a queue ordered by deadline (the requests that wait for the log or for a running request are few, and one pass a tick is enough).

Change: each tick gives up on claims and repeats whose deadline passed: not run for a claim that waits for the log, unknown for a repeat.

--- a/ebonyford/src/main/java/org/ebonyford/claim/Claims.java
+++ b/ebonyford/src/main/java/org/ebonyford/claim/Claims.java
@@ -620,8 +620,9 @@
 	}
 
 	/**
-	 * Does what time demands: starts an append, refuses what waited for too long, asks
-	 * holders, and restates what the log is about to remove.
+	 * Does what time demands: starts an append, answers what waited for too long or whose
+	 * deadline passed before its claim held, asks holders, and restates what the log is
+	 * about to remove.
 	 * @param now the router's clock reading in milliseconds
 	 * @param epochMillis the wall-clock time in milliseconds since the epoch
 	 * @param outbox takes the effects
@@ -629,6 +630,7 @@
 	public void tick(long now, long epochMillis, Outbox outbox) {
 		observe(now, epochMillis);
 		judge(now);
+		overdue(now, outbox);
 		expire(now, outbox);
 		concludeEnded(outbox);
 		this.waiters.removeOlder(now - this.settings.joinMillis())
@@ -640,6 +642,17 @@
 		append(now, outbox);
 	}
 
+	private void overdue(long now, Outbox outbox) {
+		this.waiters.removeOverdue(now)
+			.forEach((repeat) -> refuseForGood(repeat.id(), RefusalReason.DEADLINE, Outcome.UNKNOWN, outbox));
+		this.pending.values()
+			.stream()
+			.map(Attempt::request)
+			.filter((request) -> request.deadline() <= now)
+			.toList()
+			.forEach((request) -> abandoned(now, request.id(), outbox));
+	}
+
 	private void expire(long now, Outbox outbox) {
 		List<Attempt> expired = this.pending.values()
 			.stream()
--- a/ebonyford/src/main/java/org/ebonyford/claim/Waiters.java
+++ b/ebonyford/src/main/java/org/ebonyford/claim/Waiters.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 import org.ebonyford.identity.RequestId;
 import org.ebonyford.request.Request;
@@ -80,14 +81,27 @@
 	 * @return the repeats
 	 */
 	List<Request> removeOlder(long until) {
-		List<Request> old = this.groups.values()
+		return removeIf((repeat) -> repeat.since() <= until);
+	}
+
+	/**
+	 * Removes the repeats whose deadline passed.
+	 * @param now the clock reading in milliseconds
+	 * @return the repeats
+	 */
+	List<Request> removeOverdue(long now) {
+		return removeIf((repeat) -> repeat.request().deadline() <= now);
+	}
+
+	private List<Request> removeIf(Predicate<Repeat> condition) {
+		List<Request> removed = this.groups.values()
 			.stream()
 			.flatMap((group) -> group.repeats.values().stream())
-			.filter((repeat) -> repeat.since() <= until)
+			.filter(condition)
 			.map(Repeat::request)
 			.toList();
-		old.forEach((request) -> remove(request.id()));
-		return old;
+		removed.forEach((request) -> remove(request.id()));
+		return removed;
 	}
 
 	/**
--- a/ebonyford/src/test/java/org/ebonyford/claim/ClaimFleet.java
+++ b/ebonyford/src/test/java/org/ebonyford/claim/ClaimFleet.java
@@ -183,7 +183,7 @@
 
 		private final long skew;
 
-		private final Outbox outbox = new Outbox();
+		final Outbox outbox = new Outbox();
 
 		final Map<RequestId, Request> ready = new LinkedHashMap<>();
 
@@ -225,13 +225,13 @@
 			this.claims.tick(now(), epoch(), this.outbox);
 			List.copyOf(this.open.values())
 				.stream()
-				.filter((request) -> request.deadline() <= ClaimFleet.this.time)
+				.filter((request) -> request.deadline() <= now())
 				.forEach((request) -> abandon(request.id()));
 			drain();
 		}
 
 		Request begin(String key, String content) {
-			Request request = request(key, content, ClaimFleet.this.time + 1_000);
+			Request request = request(key, content, now() + 1_000);
 			ClaimFleet.this.ledger.begin(request);
 			this.open.put(request.id(), request);
 			this.claims.begin(now(), epoch(), request, this.outbox);
@@ -325,7 +325,7 @@
 			this.ready.remove(request.id());
 		}
 
-		private void drain() {
+		void drain() {
 			for (Effect effect : this.outbox.drain()) {
 				if (effect instanceof Effect.AppendClaims append) {
 					ClaimFleet.this.flights.add(new Flight(this, append));
--- a/ebonyford/src/test/java/org/ebonyford/claim/ClaimsTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/claim/ClaimsTest.java
@@ -114,6 +114,16 @@
 		assertTrue(fleet.nodes.get(0).ready.isEmpty());
 	}
 
+	@Test
+	public void testRepeatIsAnsweredAtItsDeadline() {
+		ClaimFleet fleet = ready(2);
+		running(fleet);
+		Request repeat = fleet.nodes.get(1).begin("k", "f");
+		fleet.nodes.get(1).claims.tick(repeat.deadline(), fleet.time, fleet.nodes.get(1).outbox);
+		fleet.nodes.get(1).drain();
+		assertRefused(fleet, repeat, RefusalReason.DEADLINE, Outcome.UNKNOWN);
+	}
+
 	@Test
 	public void testPausedHolderOfAForgottenKeyDoesNotSend() {
 		ClaimFleet fleet = ready(2);
