--- a/ebonyford-router/src/main/java/org/ebonyford/router/settings/RouterKeys.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/settings/RouterKeys.java
@@ -580,10 +580,12 @@
 				"How long an idempotency key is remembered after its claim.");
 
 		/**
-		 * By how much the wall clocks of two VMs differ at most.
+		 * By how much the wall clocks of VMs differ and an append takes effect late,
+		 * together at most.
 		 */
 		public static final Setting<Long> CLOCK_SKEW = Setting.standard("claims", "clock-skew", SettingFormats.TIME,
-				"5 s", "By how much the wall clocks of two VMs differ at most.");
+				"1 min",
+				"By how much the wall clocks of VMs differ and an append takes effect late, together at most.");
 
 		/**
 		 * The time over which routers spread the restating of statements that the log is
@@ -674,7 +676,7 @@
 		 * The characters of all kept answers beyond which the oldest are forgotten.
 		 */
 		public static final Setting<Integer> MAX_ANSWERS = Setting.standard("claims", "max-answers",
-				SettingFormats.COUNT, "16777216",
+				SettingFormats.COUNT, "8388608",
 				"The characters of all kept answers beyond which the oldest are forgotten.");
 
 		/**
--- a/ebonyford/src/main/java/org/ebonyford/claim/ClaimSettings.java
+++ b/ebonyford/src/main/java/org/ebonyford/claim/ClaimSettings.java
@@ -39,7 +39,7 @@
 	 * The settings of an operator who sets none.
 	 */
 	public static final ClaimSettings DEFAULT = new ClaimSettings(86_400_000L, 60_000L, 3_600_000L, 60_000L, 5_000L,
-			50L, 500, 65_536, 1_000L, 250L, 500L, 30_000L, 1_000L, 100_000, 50_000, 10_000, 16_777_216L);
+			50L, 500, 65_536, 1_000L, 250L, 500L, 30_000L, 1_000L, 100_000, 50_000, 10_000, 8_388_608L);
 
 	/**
 	 * Creates settings.
--- a/ebonyford/src/main/java/org/ebonyford/claim/ClaimTable.java
+++ b/ebonyford/src/main/java/org/ebonyford/claim/ClaimTable.java
@@ -28,6 +28,11 @@
  */
 public final class ClaimTable {
 
+	/**
+	 * The shared instances that are kept at most.
+	 */
+	private static final int MAX_SHARED = 10_000;
+
 	/**
 	 * The milliseconds for which a key is remembered after its claim.
 	 */
@@ -48,6 +53,12 @@
 	 */
 	private final LinkedHashMap<ClaimKey, Integer> answers = new LinkedHashMap<>();
 
+	/**
+	 * One instance of each organisation and holder, so that the many statements about
+	 * them share it.
+	 */
+	private final Map<Object, Object> shared = new HashMap<>();
+
 	/**
 	 * The number of keys of each organisation that are not free.
 	 */
@@ -71,12 +82,13 @@
 
 	/**
 	 * Applies the next statement of the stream.
-	 * @param record the statement
+	 * @param statement the statement
 	 * @param statedAt the wall-clock time in milliseconds at which it was appended, or an
 	 * earlier one if that is not known
 	 * @param certain whether all statements of the window before this one are known
 	 */
-	public void apply(ClaimRecord record, long statedAt, boolean certain) {
+	public void apply(ClaimRecord statement, long statedAt, boolean certain) {
+		ClaimRecord record = compact(statement);
 		ClaimKey key = ClaimKey.of(record);
 		Entry entry = this.entries.get(key);
 		switch (record.kind()) {
@@ -86,6 +98,19 @@
 		}
 	}
 
+	private ClaimRecord compact(ClaimRecord record) {
+		if (this.shared.size() > MAX_SHARED) {
+			this.shared.clear();
+		}
+		return new ClaimRecord(record.kind(), record.claimId(), shared(record.organisation()), record.key(),
+				record.fingerprint(), shared(record.holder()), record.createdAt(), record.answer());
+	}
+
+	@SuppressWarnings("unchecked")
+	private <T> T shared(T value) {
+		return (T) this.shared.computeIfAbsent(value, (absent) -> absent);
+	}
+
 	private void claim(ClaimKey key, Entry entry, Entry claim) {
 		boolean free = entry == null || entry.expiredAt(claim.statement().createdAt(), this.windowMillis);
 		boolean confirmed = entry != null && !entry.ended() && entry.sameClaim(claim.statement());
