--- a/ebonyford/src/main/java/org/ebonyford/membership/Members.java
+++ b/ebonyford/src/main/java/org/ebonyford/membership/Members.java
@@ -1,9 +1,11 @@
 package org.ebonyford.membership;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 import org.ebonyford.identity.DataCentreId;
@@ -26,6 +28,11 @@
 	 */
 	private VmList list;
 
+	/**
+	 * The entries of that list by VM.
+	 */
+	private Map<VmId, VmEntry> entries = Map.of();
+
 	/**
 	 * Takes a list, unless one with the same or a higher revision came before.
 	 * @param offered the list
@@ -36,6 +43,9 @@
 			return false;
 		}
 		this.list = offered;
+		this.entries = offered.entries()
+			.stream()
+			.collect(Collectors.toMap(VmEntry::vm, Function.identity(), (first, second) -> first));
 		return true;
 	}
 
@@ -61,7 +71,7 @@
 	 * @return the entry, or empty if the VM is not listed
 	 */
 	public Optional<VmEntry> entry(VmId vm) {
-		return list().flatMap((current) -> current.entries().stream().filter((one) -> one.vm().equals(vm)).findFirst());
+		return Optional.ofNullable(this.entries.get(vm));
 	}
 
 	/**
@@ -96,10 +106,7 @@
 	 * @return the VMs in the order of their names
 	 */
 	public SortedSet<VmId> vms() {
-		return list().stream()
-			.flatMap((current) -> current.entries().stream())
-			.map(VmEntry::vm)
-			.collect(Collectors.toCollection(TreeSet::new));
+		return new TreeSet<>(this.entries.keySet());
 	}
 
 	/**
