--- a/ebonyford-router/src/main/java/org/ebonyford/router/Main.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/Main.java
@@ -14,6 +14,7 @@
 import org.ebonyford.router.command.TextFiles;
 import org.ebonyford.router.log.HttpLogClient;
 import org.ebonyford.router.log.LogTimeouts;
+import org.ebonyford.router.process.DropwizardLauncher;
 import org.ebonyford.router.settings.RouterSettingsReader;
 
 /**
@@ -49,7 +50,7 @@
 		return new CommandEnvironment(TextFiles.ForFileSystem.INSTANCE, RouterSettingsReader.ofProcess(),
 				(name) -> Optional.ofNullable(variables.get(name)),
 				(address) -> HttpLogClient.of(address, LogTimeouts.DEFAULT), new HttpFetcher(HTTP_TIMEOUT),
-				RouterLauncher.Disabled.INSTANCE, System.getProperty("user.name"), () -> UUID.randomUUID().toString(),
+				DropwizardLauncher.INSTANCE, System.getProperty("user.name"), () -> UUID.randomUUID().toString(),
 				Main::pause);
 	}
 
