--- a/ebonyford-router/src/test/java/org/ebonyford/router/log/FakeLogClient.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/log/FakeLogClient.java
@@ -21,6 +21,11 @@
 	 */
 	private final Deque<Fate> fates = new ArrayDeque<>();
 
+	/**
+	 * The records that are taken later.
+	 */
+	private final Deque<byte[]> late = new ArrayDeque<>();
+
 	/**
 	 * Runs before each append, at which another operator may append too.
 	 */
@@ -42,6 +47,10 @@
 				yield CompletableFuture.failedFuture(new LogException("The answer was lost", true, null));
 			}
 			case LOST -> CompletableFuture.failedFuture(new LogException("The answer was lost", true, null));
+			case LATE -> {
+				this.late.add(body);
+				yield CompletableFuture.failedFuture(new LogException("The answer was lost", true, null));
+			}
 			case REFUSED -> CompletableFuture.failedFuture(new LogException("The log is down", false, null));
 		};
 	}
@@ -82,6 +91,15 @@
 		this.race = action;
 	}
 
+	/**
+	 * Takes the records that were to be taken later.
+	 */
+	public void takeLate() {
+		while (!this.late.isEmpty()) {
+			take(this.late.poll());
+		}
+	}
+
 	/**
 	 * Makes reads fail.
 	 */
@@ -111,6 +129,9 @@
 		/** The record and the answer are lost. */
 		LOST,
 
+		/** The answer is lost, and the record is taken later. */
+		LATE,
+
 		/** The record is refused. */
 		REFUSED
 
