Prove refusals, bounds and many streams, and measure the latency added

Cause: refusals before a decision, the bounds on callers and the number of threads were not proved, and the latency that the router adds was unknown.

Ruled out: leaving oversized headers and malformed targets to the HTTP server's own pages, which are no problem documents; they now come from an error handler.

--- /dev/null
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerLoadTest.java
@@ -0,0 +1,160 @@
+package org.ebonyford.router.caller;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+import org.testng.annotations.Test;
+
+import org.ebonyford.router.upstream.FakeUpstream;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Tests the data path under load.
+ */
+public class CallerLoadTest {
+
+	private static final int STREAMS = 1000;
+
+	private static final int CONNECTIONS = 16;
+
+	private static final int REQUESTS = 400;
+
+	private static final int WARM_UP = 125;
+
+	private static final long INTERVAL_NANOS = 1_000_000_000L * CONNECTIONS / 1000;
+
+	@Test(timeOut = 120_000)
+	public void testManyStreamsShareFewThreads() throws Exception {
+		CountDownLatch started = new CountDownLatch(STREAMS);
+		try (FakeUpstream upstream = new FakeUpstream((request, wire) -> {
+			String data = "{\"digest\":\"" + Digests.sha256(request.body()) + "\"}";
+			wire.stream(request.id());
+			wire.event(0, data);
+			started.countDown();
+			started.await();
+			wire.event(1, data);
+			wire.last(2, 9);
+		}); CallerServer server = CallerServer.sending(upstream.address())) {
+			List<Socket> callers = new ArrayList<>();
+			for (int each = 0; each < STREAMS; each++) {
+				callers.add(server.complete(body(each)));
+			}
+			assertTrue(started.await(60, TimeUnit.SECONDS), "Streams that wait: " + started.getCount());
+			long threads = Thread.getAllStackTraces().keySet().stream().filter(CallerLoadTest::isRouters).count();
+			assertTrue(threads <= CallerServer.THREADS + 4, "The router has " + threads + " threads");
+			Set<String> ids = new HashSet<>();
+			for (int each = 0; each < STREAMS; each++) {
+				String answer = readAll(callers.get(each));
+				String data = "data: {\"digest\":\"" + Digests.sha256(body(each).getBytes(StandardCharsets.UTF_8))
+						+ "\"}\n\n";
+				assertTrue(answer.contains("id: 0\n" + data) && answer.contains("id: 1\n" + data), answer);
+				ids.add(answer.lines().filter((line) -> line.startsWith("X-Request-Id")).findFirst().orElseThrow());
+			}
+			assertEquals(ids.size(), STREAMS);
+			assertEquals(server.registry().timer("callers.organisation.paws.firstByte").getCount(), STREAMS);
+			assertEquals(server.registry().timer("callers.class.batch.betweenEvents").getCount(), 3 * STREAMS);
+		}
+	}
+
+	@Test(timeOut = 120_000)
+	public void testAddedLatency() throws Exception {
+		try (FakeUpstream upstream = new FakeUpstream(
+				(request, wire) -> wire.whole("200 OK", request.id(), "", request.headers().get("X-Nonce")));
+				CallerServer server = CallerServer.sending(upstream.address())) {
+			long[] direct = measure(upstream.address(), "/x");
+			long[] routed = measure(server.address(), "/services/booking/x");
+			System.out.printf(
+					"Latency in microseconds: direct p50 %d p99 %d, routed p50 %d p99 %d, added p50 %d p99 %d%n",
+					direct[0], direct[1], routed[0], routed[1], routed[0] - direct[0], routed[1] - direct[1]);
+			assertTrue(routed[0] - direct[0] < 10_000, "The median grew by " + (routed[0] - direct[0]) + " us");
+		}
+	}
+
+	private static long[] measure(String address, String path) throws Exception {
+		var pool = Executors.newFixedThreadPool(CONNECTIONS);
+		List<CompletableFuture<long[]>> results = new ArrayList<>();
+		for (int each = 0; each < CONNECTIONS; each++) {
+			int number = each;
+			results.add(CompletableFuture.supplyAsync(() -> calls(address, path, number), pool));
+		}
+		long[] all = results.stream().flatMapToLong((result) -> Arrays.stream(result.join())).sorted().toArray();
+		pool.shutdown();
+		return new long[] { all[all.length / 2] / 1000, all[all.length * 99 / 100] / 1000 };
+	}
+
+	private static long[] calls(String address, String path, int number) {
+		String[] parts = address.split(":");
+		long[] times = new long[REQUESTS - WARM_UP];
+		try (Socket socket = new Socket(parts[0], Integer.parseInt(parts[1]))) {
+			socket.setTcpNoDelay(true);
+			InputStream input = new BufferedInputStream(socket.getInputStream());
+			long next = System.nanoTime() + INTERVAL_NANOS * number / CONNECTIONS;
+			for (int each = 0; each < REQUESTS; each++) {
+				LockSupport.parkNanos(next - System.nanoTime());
+				next += INTERVAL_NANOS;
+				String nonce = number + "-" + each;
+				long start = System.nanoTime();
+				socket.getOutputStream()
+					.write(("GET " + path + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + CallerServer.KEY
+							+ "\r\nX-Nonce: " + nonce + "\r\n\r\n")
+						.getBytes(StandardCharsets.UTF_8));
+				assertEquals(readWhole(input), nonce);
+				if (each >= WARM_UP) {
+					times[each - WARM_UP] = System.nanoTime() - start;
+				}
+			}
+			return times;
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static String readWhole(InputStream input) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (head.indexOf("\r\n\r\n") < 0) {
+			head.append((char) input.read());
+		}
+		String length = head.toString()
+			.lines()
+			.filter((line) -> line.toLowerCase().startsWith("content-length: "))
+			.findFirst()
+			.orElseThrow();
+		return new String(input.readNBytes(Integer.parseInt(length.substring(16))), StandardCharsets.UTF_8);
+	}
+
+	private static String readAll(Socket socket) throws IOException {
+		InputStream input = new BufferedInputStream(socket.getInputStream());
+		StringBuilder answer = new StringBuilder();
+		while (answer.indexOf("\r\n0\r\n\r\n") < 0) {
+			answer.append((char) input.read());
+		}
+		socket.close();
+		return answer.toString();
+	}
+
+	private static String body(int number) {
+		return "{\"model\":\"llm\",\"stream\":true,\"n\":" + number + "}";
+	}
+
+	private static boolean isRouters(Thread thread) {
+		String name = thread.getName();
+		return name.startsWith("qtp") || name.startsWith("httpclient-") || name.startsWith("caller-");
+	}
+
+}
--- a/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerServer.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerServer.java
@@ -155,6 +155,7 @@
 				() -> new RequestId("r-" + numbers.incrementAndGet()), this.pending, metrics));
 		holder.setAsyncSupported(true);
 		ServletContextHandler handler = new ServletContextHandler();
+		this.server.setErrorHandler(new ProblemErrorHandler(() -> new RequestId("e-" + numbers.incrementAndGet())));
 		handler.addServlet(holder, "/*");
 		this.server.setHandler(handler);
 		this.server.start();
