--- a/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Exchange.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Exchange.java
@@ -169,7 +169,7 @@
 			return;
 		}
 		Relay.Head head = head(response);
-		int buffer = this.exchanges.settings().bufferBytes();
+		int buffer = this.exchanges.connections().bufferBytes();
 		this.relay = engineEvents ? new Relay.OfEvents(this.pending, head, this.flow, buffer)
 				: new Relay.OfBytes(this.pending, head, this.flow, events ? 0 : buffer);
 	}
--- a/ebonyford-router/src/main/java/org/ebonyford/router/upstream/UpstreamConnections.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/upstream/UpstreamConnections.java
@@ -44,6 +44,11 @@
 	 */
 	private final UpstreamSettings settings;
 
+	/**
+	 * The bytes of an answer that are kept before its upstream is slowed down.
+	 */
+	private final int bufferBytes;
+
 	/**
 	 * The pool.
 	 */
@@ -63,21 +68,32 @@
 	/**
 	 * Creates a pool without connections and starts its threads.
 	 * @param settings the bounds on the connections
+	 * @param bufferBytes the bytes of an answer that are kept before its upstream is
+	 * slowed down
 	 * @param scheduler ends waits for a connection
 	 */
-	public UpstreamConnections(UpstreamSettings settings, ScheduledExecutorService scheduler) {
+	public UpstreamConnections(UpstreamSettings settings, int bufferBytes, ScheduledExecutorService scheduler) {
 		this.settings = settings;
+		this.bufferBytes = bufferBytes;
 		this.scheduler = scheduler;
 		this.pool = pool(settings);
 		IOReactorConfig reactor = IOReactorConfig.custom()
 			.setIoThreadCount(settings.ioThreads())
 			.setTcpNoDelay(true)
 			.build();
-		Http1Config http = Http1Config.custom().setInitialWindowSize(settings.bufferBytes()).build();
+		Http1Config http = Http1Config.custom().setInitialWindowSize(bufferBytes).build();
 		this.client = HttpAsyncClients.createMinimal(H2Config.DEFAULT, http, reactor, this.pool);
 		this.client.start();
 	}
 
+	/**
+	 * Returns the bytes of an answer that are kept before its upstream is slowed down.
+	 * @return the number of bytes, which is also the largest event of a stream
+	 */
+	int bufferBytes() {
+		return this.bufferBytes;
+	}
+
 	/**
 	 * Leases a connection, and makes it if none is idle.
 	 * @param host the upstream
--- a/ebonyford-router/src/main/java/org/ebonyford/router/upstream/UpstreamSettings.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/upstream/UpstreamSettings.java
@@ -11,19 +11,12 @@
  * connection carries nothing
  * @param keepAliveMillis the milliseconds for which an idle connection is kept
  * @param ioThreads the threads that serve all connections
- * @param bufferBytes the bytes of an answer that a router keeps before it slows the
- * upstream down, and the largest event of a stream
  * @param maxResumes the attempts to resume one stream
  * @param resumeDelayMillis the milliseconds before an attempt to resume a stream
  */
 public record UpstreamSettings(int maxConnections, int maxConnectionsPerUpstream, int poolWaitMillis,
-		int connectTimeoutMillis, int silenceMillis, int keepAliveMillis, int ioThreads, int bufferBytes,
-		int maxResumes, int resumeDelayMillis) {
-
-	/**
-	 * The number of bytes in a kibibyte.
-	 */
-	private static final int KIB = 1024;
+		int connectTimeoutMillis, int silenceMillis, int keepAliveMillis, int ioThreads, int maxResumes,
+		int resumeDelayMillis) {
 
 	/**
 	 * Creates settings.
@@ -37,7 +30,6 @@
 		requirePositive("silenceMillis", silenceMillis);
 		requirePositive("keepAliveMillis", keepAliveMillis);
 		requirePositive("ioThreads", ioThreads);
-		requirePositive("bufferBytes", bufferBytes);
 		if (maxResumes < 0 || resumeDelayMillis < 0) {
 			throw new IllegalArgumentException("maxResumes and resumeDelayMillis must not be negative");
 		}
@@ -48,7 +40,7 @@
 	 * @return the default settings
 	 */
 	public static UpstreamSettings defaults() {
-		return new UpstreamSettings(4096, 1024, 1000, 1000, 120_000, 20_000, 2, 64 * KIB, 3, 100);
+		return new UpstreamSettings(4096, 1024, 1000, 1000, 120_000, 20_000, 2, 3, 100);
 	}
 
 	private static void requirePositive(String name, long value) {
--- a/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerServer.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerServer.java
@@ -72,6 +72,11 @@
 	 */
 	private static final long PATIENCE = 5000;
 
+	/**
+	 * The milliseconds after which the server closes an idle connection.
+	 */
+	public static final long IDLE_MILLIS = 700;
+
 	/**
 	 * The threads of the server.
 	 */
@@ -142,7 +147,7 @@
 		AtomicLong numbers = new AtomicLong();
 		this.decisions = decisions;
 		this.pending = new PendingRequests(callers);
-		this.connections = new UpstreamConnections(upstreams, this.scheduler);
+		this.connections = new UpstreamConnections(upstreams, callers.streamBufferBytes(), this.scheduler);
 		this.exchanges = new Exchanges(this.connections, upstreams, this.pending, metrics, clock, this::take,
 				this.scheduler);
 		HttpConfiguration http = new HttpConfiguration();
@@ -150,6 +155,7 @@
 		this.connector = new ServerConnector(this.server, 1, 1, new HttpConnectionFactory(http));
 		this.connector.setHost("127.0.0.1");
 		this.connector.setAcceptQueueSize(2048);
+		this.connector.setIdleTimeout(IDLE_MILLIS);
 		this.server.addConnector(this.connector);
 		ServletHolder holder = new ServletHolder(new CallerServlet(() -> configuration, clock, this::take, callers,
 				() -> new RequestId("r-" + numbers.incrementAndGet()), this.pending, metrics));
@@ -179,7 +185,7 @@
 	 * @return the settings
 	 */
 	public static UpstreamSettings settings(int maxResumes) {
-		return new UpstreamSettings(1200, 1200, 200, 500, 60_000, 20_000, 2, 64 * 1024, maxResumes, 20);
+		return new UpstreamSettings(1200, 1200, 200, 500, 60_000, 20_000, 2, maxResumes, 20);
 	}
 
 	/**
--- a/ebonyford-router/src/test/java/org/ebonyford/router/upstream/ExchangesTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/upstream/ExchangesTest.java
@@ -291,6 +291,17 @@
 		});
 	}
 
+	@Test
+	public void testWaitOutlastsTheIdleTimeout() throws Exception {
+		run((request, wire) -> {
+			Thread.sleep(3 * CallerServer.IDLE_MILLIS);
+			wire.stream(request.id());
+			wire.event(0, "{}");
+			Thread.sleep(3 * CallerServer.IDLE_MILLIS);
+			wire.last(1, 9);
+		}, (upstream, server) -> assertEquals(server.call("POST", COMPLETIONS, STREAM).body(), events(1)));
+	}
+
 	@Test
 	public void testEngineIsToldThatTheCallerLeft() throws Exception {
 		run((request, wire) -> {
@@ -420,7 +431,7 @@
 
 	private static CallerServer narrow(FakeUpstream upstream, long timeout) throws Exception {
 		CallerSettings settings = new CallerSettings(1000, 1000, 16_384, 64, timeout, timeout, 10, 400, 65_536, 50);
-		return new CallerServer(settings, new UpstreamSettings(1, 1, 500, 500, 60_000, 20_000, 1, 65_536, 0, 20),
+		return new CallerServer(settings, new UpstreamSettings(1, 1, 500, 500, 60_000, 20_000, 1, 0, 20),
 				Optional.of(CallerServer.configuration()), CallerServer.toUpstream(upstream.address()));
 	}
 
