--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/LoadedRouter.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/LoadedRouter.java
@@ -156,7 +156,7 @@
 	private static ReducerSettings settings() {
 		return new ReducerSettings(DispatchSettings.defaults(), ClaimSettings.DEFAULT, SuspectSettings.DEFAULT,
 				new RefreshPolicy(PATIENCE_MILLIS, PATIENCE_MILLIS, PATIENCE_MILLIS), new PeerTimes(250, 1_500),
-				Audience.ForAll.INSTANCE, 500, 0);
+				Audience.ForAll.INSTANCE, 1_000, 500, 0);
 	}
 
 	private Event configuration(int organisations) {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/loop/EventLoop.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/loop/EventLoop.java
@@ -26,11 +26,6 @@
  */
 public final class EventLoop implements EventSink, AutoCloseable {
 
-	/**
-	 * The milliseconds between two ticks.
-	 */
-	public static final long TICK_MILLIS = 10;
-
 	/**
 	 * The writer of the log.
 	 */
@@ -56,6 +51,11 @@
 	 */
 	private final Clock epoch;
 
+	/**
+	 * The milliseconds between two ticks.
+	 */
+	private final long tickMillis;
+
 	/**
 	 * What waits to be run on the loop's thread.
 	 */
@@ -87,14 +87,16 @@
 	 * @param handler carries out the effects
 	 * @param clock the monotonic clock
 	 * @param epoch the wall clock
+	 * @param tickMillis the milliseconds between two ticks
 	 * @param registry keeps the loop's metrics
 	 */
 	public EventLoop(Function<Event, List<Effect>> reducer, EffectHandler handler, Clock clock, Clock epoch,
-			MetricRegistry registry) {
+			long tickMillis, MetricRegistry registry) {
 		this.reducer = reducer;
 		this.handler = handler;
 		this.clock = clock;
 		this.epoch = epoch;
+		this.tickMillis = tickMillis;
 		this.applied = registry.timer("loop.apply");
 		registry.gauge("loop.queue", () -> (Gauge<Integer>) this.tasks::size);
 		this.thread = new Thread(this::run, "event-loop");
@@ -158,7 +160,7 @@
 	private void tickIfDue() {
 		long now = this.clock.millis();
 		if (now >= this.nextTick) {
-			this.nextTick = now + TICK_MILLIS;
+			this.nextTick = now + this.tickMillis;
 			apply(new Event.Tick(now, this.epoch.millis()));
 		}
 	}
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/RouterModule.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/RouterModule.java
@@ -30,6 +30,7 @@
 import org.ebonyford.router.caller.CallerSettings;
 import org.ebonyford.router.caller.PendingRequests;
 import org.ebonyford.router.control.ControlRecordCodec;
+import org.ebonyford.router.evidence.EvidenceAppender;
 import org.ebonyford.router.log.ClaimAppender;
 import org.ebonyford.router.log.HttpLogClient;
 import org.ebonyford.router.log.LogTailer;
@@ -117,6 +118,14 @@
 		});
 	}
 
+	private static ScheduledExecutorService evidenceExecutor() {
+		return Executors.newSingleThreadScheduledExecutor((task) -> {
+			Thread thread = new Thread(task, "evidence");
+			thread.setDaemon(true);
+			return thread;
+		});
+	}
+
 	@Provides
 	@Singleton
 	CloseableHttpAsyncClient platformClient() {
@@ -204,8 +213,8 @@
 
 	@Provides
 	@Singleton
-	UpstreamConnections upstreamConnections(ScheduledExecutorService scheduler) {
-		return new UpstreamConnections(this.mapping.upstreams(), scheduler);
+	UpstreamConnections upstreamConnections(CallerSettings bounds, ScheduledExecutorService scheduler) {
+		return new UpstreamConnections(this.mapping.upstreams(), bounds.streamBufferBytes(), scheduler);
 	}
 
 	@Provides
@@ -230,6 +239,7 @@
 			.on(Effect.WatchUpstreams.class, load)
 			.on(Effect.AppendClaims.class, new ClaimAppender(log, sink, clock))
 			.on(Effect.AppendControl.class, new ControlAppender(log, codec))
+			.on(Effect.AppendEvidence.class, new EvidenceAppender(log, evidenceExecutor()))
 			.on(Effect.Configure.class, this::adopt)
 			.on(Effect.Note.class, EventLog.INSTANCE)
 			.on(Effect.Readiness.class, ignored)
@@ -245,7 +255,8 @@
 	@Provides
 	@Singleton
 	EventLoop eventLoop(Reducer reducer, EffectHandler handler, Clock clock, MetricRegistry metrics) {
-		EventLoop made = new EventLoop(reducer, handler, clock, Clock.ForEpoch.INSTANCE, metrics);
+		EventLoop made = new EventLoop(reducer, handler, clock, Clock.ForEpoch.INSTANCE,
+				this.settings.value(RouterKeys.Loop.TICK), metrics);
 		this.loop.set(made);
 		return made;
 	}
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/SettingsMapping.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/SettingsMapping.java
@@ -63,7 +63,7 @@
 		long heartbeat = value(RouterKeys.Dispatch.GOSSIP);
 		return new ReducerSettings(dispatch(), claims(), suspects(), refresh(),
 				new PeerTimes(heartbeat, MISSED_HEARTBEATS * heartbeat), new Audience.OfRotation(HEARTBEAT_AUDIENCE),
-				value(RouterKeys.Loop.PAUSE), value(RouterKeys.Stop.NOTICE));
+				value(RouterKeys.Evidence.BATCHING), value(RouterKeys.Loop.PAUSE), value(RouterKeys.Stop.NOTICE));
 	}
 
 	private DispatchSettings dispatch() {
@@ -125,8 +125,7 @@
 				value(RouterKeys.Upstreams.MAX_CONNECTIONS_EACH), millis(RouterKeys.Upstreams.POOL_WAIT),
 				millis(RouterKeys.Upstreams.CONNECT_TIMEOUT), millis(RouterKeys.Upstreams.SILENCE),
 				millis(RouterKeys.Upstreams.KEEP_ALIVE), value(RouterKeys.Upstreams.IO_THREADS),
-				bytes(RouterKeys.Upstreams.BUFFER), value(RouterKeys.Upstreams.MAX_RESUMES),
-				millis(RouterKeys.Upstreams.RESUME_DELAY));
+				value(RouterKeys.Upstreams.MAX_RESUMES), millis(RouterKeys.Upstreams.RESUME_DELAY));
 	}
 
 	/**
--- a/ebonyford-router/src/main/java/org/ebonyford/router/settings/RouterKeys.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/settings/RouterKeys.java
@@ -393,12 +393,6 @@
 		public static final Setting<Integer> IO_THREADS = Setting.standard("upstreams", "io-threads",
 				SettingFormats.COUNT, "2", "The number of threads that serve all connections to upstreams.");
 
-		/**
-		 * The size of an answer that a router keeps before it slows the upstream down.
-		 */
-		public static final Setting<Long> BUFFER = Setting.standard("upstreams", "buffer", SettingFormats.SIZE,
-				"64 KiB", "The size of an answer that a router keeps before it slows the upstream down.");
-
 		/**
 		 * How often one stream is resumed.
 		 */
@@ -415,8 +409,7 @@
 		 * The settings of the section.
 		 */
 		private static final List<Setting<?>> ALL = List.of(LOAD_POLL, LOAD_TIMEOUT, CONNECT_TIMEOUT, SILENCE,
-				KEEP_ALIVE, POOL_WAIT, MAX_CONNECTIONS, MAX_CONNECTIONS_EACH, IO_THREADS, BUFFER, MAX_RESUMES,
-				RESUME_DELAY);
+				KEEP_ALIVE, POOL_WAIT, MAX_CONNECTIONS, MAX_CONNECTIONS_EACH, IO_THREADS, MAX_RESUMES, RESUME_DELAY);
 
 		private Upstreams() {
 		}
--- a/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
+++ b/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
@@ -127,6 +127,11 @@
 	 */
 	private final Lifecycle lifecycle;
 
+	/**
+	 * Gathers evidence.
+	 */
+	private final Recorder recorder;
+
 	/**
 	 * The requests that have no final answer yet.
 	 */
@@ -198,6 +203,7 @@
 				appends::incrementAndGet);
 		this.peers = new Peers(self.vm(), settings.peerTimes(), settings.audience());
 		this.lifecycle = new Lifecycle(settings.noticeMillis());
+		this.recorder = new Recorder(settings.evidenceMillis(), self);
 	}
 
 	/**
@@ -286,6 +292,7 @@
 		boolean paused = this.lastTick != Long.MIN_VALUE && now - this.lastTick > this.settings.pauseMillis();
 		this.lastTick = now;
 		this.epochMillis = tick.epochMillis();
+		this.recorder.advance(this.epochMillis);
 		if (paused) {
 			resumed(now);
 		}
@@ -297,7 +304,14 @@
 		this.suspects.tick(now, this.outbox);
 		this.control.tick(now, tick.epochMillis(), this.outbox);
 		this.lifecycle.judge(obstacle(), this.outbox);
-		this.lifecycle.tick(now, idle(), this.outbox);
+		if (this.topology != null) {
+			this.recorder.tick(this.topology, this.dispatch, this.outbox);
+		}
+		boolean idle = idle();
+		if (idle && this.lifecycle.closed(now)) {
+			this.recorder.close(this.outbox);
+		}
+		this.lifecycle.tick(now, idle, this.outbox);
 	}
 
 	private void resumed(long now) {
@@ -397,6 +411,7 @@
 		Effect.Send exchange = this.exchanges.remove(event.request());
 		Request request = this.requests.get(event.request());
 		if (exchange != null && request != null) {
+			this.recorder.ended(this.topology, request, event);
 			judge(event, exchange, request);
 		}
 		Completion completion = this.dispatch.ended(event.at(), event.request(), event.ending(), event.cost(),
@@ -534,6 +549,7 @@
 		ControlState state = this.control.current().orElseThrow();
 		Configuration configuration = this.control.configuration().orElseThrow();
 		this.outbox.add(new Effect.Configure(state, configuration));
+		this.recorder.inForce(state);
 		rebuild(now);
 	}
 
@@ -605,6 +621,7 @@
 
 	private void sending(long now, Effect.Send send) {
 		this.exchanges.put(send.request(), send);
+		this.recorder.sent(this.topology, send);
 		Request request = this.requests.get(send.request());
 		if (request != null && request.key().isPresent()) {
 			this.claims.sending(now, send.request());
@@ -613,6 +630,9 @@
 
 	private void refused(long now, Effect.Refuse refuse) {
 		Request request = this.requests.remove(refuse.request());
+		if (request != null) {
+			this.recorder.refused(request, refuse.refusal(), refuse.refusal().outcome() != Outcome.NOT_RUN);
+		}
 		if (request == null || request.key().isEmpty() || !this.dispatched.remove(refuse.request())) {
 			return;
 		}
--- a/ebonyford/src/main/java/org/ebonyford/reducer/ReducerSettings.java
+++ b/ebonyford/src/main/java/org/ebonyford/reducer/ReducerSettings.java
@@ -16,13 +16,15 @@
  * @param refresh when a control state is appended anew
  * @param peerTimes the times by which peers are judged
  * @param audience chooses the peers that a heartbeat goes to
+ * @param evidenceMillis the milliseconds that a batch of evidence covers
  * @param pauseMillis the milliseconds between two ticks beyond which the event loop
  * counts as having stood still
  * @param noticeMillis the milliseconds in which the platform's balancer notices that a
  * router is not ready
  */
 public record ReducerSettings(DispatchSettings dispatch, ClaimSettings claims, SuspectSettings suspects,
-		RefreshPolicy refresh, PeerTimes peerTimes, Audience audience, long pauseMillis, long noticeMillis) {
+		RefreshPolicy refresh, PeerTimes peerTimes, Audience audience, long evidenceMillis, long pauseMillis,
+		long noticeMillis) {
 
 	/**
 	 * Creates settings.
