Add the evidence command

Cause: operators and their regulator ask whether promises were kept in a period.

Ruled out: exit code 0 where records are missing; whoever checks the code would take a gap for a proof.

Conclusion: exit code 0 means that the records are whole and show the promises kept.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/command/Answers.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/command/Answers.java
@@ -35,11 +35,11 @@
 	static Answer outcome(ControlOutcome outcome) {
 		if (outcome instanceof ControlOutcome.Accepted accepted) {
 			long version = accepted.record().offset();
-			return Answer.ok("Version " + version + " is in force.", Map.of("outcome", "accepted", "version", version));
+			return Answer.ok("Version " + version + " is in force.", fields("accepted", version));
 		}
 		if (outcome instanceof ControlOutcome.Unchanged unchanged) {
 			return Answer.ok("Version " + unchanged.version() + " is in force and has this already; nothing changed.",
-					Map.of("outcome", "unchanged", "version", unchanged.version()));
+					fields("unchanged", unchanged.version()));
 		}
 		if (outcome instanceof ControlOutcome.Lost lost) {
 			return lost(lost);
@@ -50,12 +50,17 @@
 		return Answer.failed(ExitCode.REFUSED, "Nothing is in force yet; publish plans and uses first.");
 	}
 
+	private static Map<String, Object> fields(String outcome, long version) {
+		Map<String, Object> fields = new LinkedHashMap<>();
+		fields.put("outcome", outcome);
+		fields.put("version", version);
+		return fields;
+	}
+
 	private static Answer lost(ControlOutcome.Lost lost) {
 		String winner = lost.winner().map(ControlRecord::author).orElse("someone whose record is no longer kept");
-		Map<String, Object> fields = new LinkedHashMap<>();
-		fields.put("outcome", "lost");
+		Map<String, Object> fields = fields("lost", lost.inForce());
 		fields.put("base", lost.base());
-		fields.put("version", lost.inForce());
 		fields.put("winner", winner);
 		String line = "Not accepted: version " + lost.base() + " was replaced by " + winner + " first. Version "
 				+ lost.inForce() + " is in force. See it with show, then try again.";
@@ -65,8 +70,10 @@
 	private static Answer unreachable(ControlOutcome.Unreachable unreachable) {
 		String effect = unreachable.effectPossible()
 				? "The change may come into force still; ask with show before you try again." : "Nothing changed.";
-		return new Answer(ExitCode.UNREACHABLE, List.of(unreachable.message() + ". " + effect), Map.of("outcome",
-				unreachable.effectPossible() ? "unknown" : "unreachable", "reason", unreachable.message()));
+		Map<String, Object> fields = new LinkedHashMap<>();
+		fields.put("outcome", unreachable.effectPossible() ? "unknown" : "unreachable");
+		fields.put("reason", unreachable.message());
+		return new Answer(ExitCode.UNREACHABLE, List.of(unreachable.message() + ". " + effect), fields);
 	}
 
 	private static Map<String, Object> finding(Finding finding) {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/command/CommandLine.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/command/CommandLine.java
@@ -135,7 +135,7 @@
 		CliBuilder<Operation> builder = Cli.<Operation>builder(PROGRAM)
 			.withDescription("Routes requests of many organisations to shared engines and services.")
 			.withCommands(List.of(RouterOperation.class, CheckOperation.class, PublishOperation.class,
-					ShowOperation.class, StatusOperation.class, SettingsOperation.class));
+					ShowOperation.class, StatusOperation.class, EvidenceOperation.class, SettingsOperation.class));
 		builder.withGroup("dc")
 			.withDescription("Takes data centres out of service and back.")
 			.withCommands(List.of(TakeOutOperation.DataCentreOut.class, TakeOutOperation.DataCentreIn.class));
--- a/ebonyford-router/src/test/java/org/ebonyford/router/command/CommandLineTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/command/CommandLineTest.java
@@ -190,6 +190,33 @@
 		assertTrue(printed().contains("no answer"), printed());
 	}
 
+	@Test
+	public void testOutcomeIsWrittenAsJson() {
+		run("publish", "--plans", "plans.ini", "--uses", "uses.ini", "--json");
+		assertEquals(printed().strip(), "{\"exitCode\":0,\"outcome\":\"accepted\",\"version\":0}");
+	}
+
+	@Test
+	public void testEvidenceOfAPeriodWithoutRecordsIsNotWhole() {
+		assertEquals(run("evidence", "--from", "2026-12-04T08:00:00Z", "--to", "2026-12-04T09:00:00Z"),
+				ExitCode.REFUSED);
+		assertTrue(printed().contains("AT_MOST_ONCE: RECORDS_MISSING"), printed());
+	}
+
+	@Test
+	public void testEvidenceNeedsAPeriod() {
+		assertEquals(run("evidence", "--from", "2026-12-04T09:00:00Z", "--to", "2026-12-04T08:00:00Z"),
+				ExitCode.REFUSED);
+		assertTrue(printed().contains("--from must be before --to"), printed());
+	}
+
+	@Test
+	public void testEvidenceWithoutLogIsUnreachable() {
+		this.log.failReads();
+		assertEquals(run("evidence", "--from", "2026-12-04T08:00:00Z", "--to", "2026-12-04T09:00:00Z"),
+				ExitCode.UNREACHABLE);
+	}
+
 	@Test
 	public void testSettingsAreAnIniFile() {
 		assertEquals(run("settings"), ExitCode.OK);
