Dispatch: test two data centres; name a pool that left the configuration

Cause: the fake fleet knew one data centre only, and a pool that was taken out of the configuration was refused as one without upstreams. Ruled out: dropping the state of such a pool, whose running requests still have to be settled.

--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Entry.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Entry.java
@@ -210,8 +210,11 @@
 	}
 
 	private Optional<RefusalReason> refusal(long now, Request request, Optional<PoolState> pool) {
-		if (pool.isEmpty()) {
-			return Optional.of(this.fleet.topology().isEmpty() ? RefusalReason.NOT_READY : RefusalReason.NO_SUCH_POOL);
+		if (this.fleet.topology().isEmpty()) {
+			return Optional.of(RefusalReason.NOT_READY);
+		}
+		if (pool.isEmpty() || !this.fleet.configured(request.pool())) {
+			return Optional.of(RefusalReason.NO_SUCH_POOL);
 		}
 		if (!pool.get().open()) {
 			return Optional.of(RefusalReason.NO_UPSTREAM);
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Fleet.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Fleet.java
@@ -93,6 +93,15 @@
 		return Optional.ofNullable(this.pools.get(id));
 	}
 
+	/**
+	 * Returns whether a pool is a part of the configuration in force.
+	 * @param id the name of the pool
+	 * @return whether it is configured
+	 */
+	boolean configured(PoolId id) {
+		return this.topology != null && this.topology.configuration().pools().containsKey(id);
+	}
+
 	Collection<UpstreamState> upstreams() {
 		return this.upstreams.values();
 	}
--- a/ebonyford/src/test/java/org/ebonyford/dispatch/FakeFleet.java
+++ b/ebonyford/src/test/java/org/ebonyford/dispatch/FakeFleet.java
@@ -84,6 +84,9 @@
 	/** The largest number of requests above what an engine bore. */
 	int excess;
 
+	/** The data centres that routers and engines take turns in. */
+	int centres = 1;
+
 	/** Whether all requests come in the name of one organisation. */
 	boolean anonymous;
 
@@ -110,6 +113,8 @@
 
 	private Set<VmId> listed = new TreeSet<>();
 
+	private Set<UpstreamId> closed = Set.of();
+
 	private long revision;
 
 	private long sequence;
@@ -131,6 +136,10 @@
 		return new VmId("vm-" + index);
 	}
 
+	private DataCentreId centre(VmId vm) {
+		return CENTRES[Integer.parseInt(vm.value().substring("vm-".length())) % this.centres];
+	}
+
 	static OrganisationId organisation(String name) {
 		return new OrganisationId(name);
 	}
@@ -204,6 +213,12 @@
 		healed.forEach((pair) -> greet(this.routers.get(pair.get(0)), this.routers.get(pair.get(1))));
 	}
 
+	/** Takes engines out of service, which the routers see after a lag. */
+	void close(Set<UpstreamId> engines) {
+		this.closed = engines;
+		this.routers.forEach(Router::readList);
+	}
+
 	/** Changes the platform's list, which the routers see after a lag. */
 	void list(Set<Integer> vms) {
 		this.listed = new TreeSet<>();
@@ -318,7 +333,7 @@
 		});
 		Map<UpstreamId, Upstream> upstreams = new HashMap<>();
 		for (Engine engine : this.engines) {
-			upstreams.put(engine.id, new Upstream(engine.id, POOL, engine.centre, "address"));
+			upstreams.put(engine.id, new Upstream(engine.id, POOL, CENTRES[engine.centre()], "address"));
 		}
 		return new Configuration(plans, organisations, Map.of(POOL, this.pool), upstreams, List.of());
 	}
@@ -440,9 +455,9 @@
 
 		private Topology topology(Set<VmId> list, long version) {
 			Map<DataCentreId, java.util.SortedSet<VmId>> owners = new HashMap<>();
-			list.forEach((vm) -> owners.computeIfAbsent(CENTRES[0], (absent) -> new TreeSet<>()).add(vm));
-			return new Topology(vm(this.index), CENTRES[0], version, owners, new TreeSet<>(list), configuration(),
-					Set.of());
+			list.forEach((vm) -> owners.computeIfAbsent(centre(vm), (absent) -> new TreeSet<>()).add(vm));
+			return new Topology(vm(this.index), CENTRES[this.index % FakeFleet.this.centres], version, owners,
+					new TreeSet<>(list), configuration(), FakeFleet.this.closed);
 		}
 
 		private void tick(int current) {
@@ -518,16 +533,21 @@
 
 		long completed;
 
-		private final DataCentreId centre = CENTRES[0];
+		private final int index;
 
 		private long incarnation = 1;
 
 		private boolean down;
 
 		private Engine(int index) {
+			this.index = index;
 			this.id = new UpstreamId("e" + index);
 		}
 
+		int centre() {
+			return this.index % FakeFleet.this.centres;
+		}
+
 		/** Restarts the engine, which refuses connections for a while. */
 		void restart(long millis) {
 			Map<RequestId, Router> broken = new HashMap<>(this.running);
