--- a/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
+++ b/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
@@ -145,7 +145,7 @@
 	/**
 	 * The exchanges under way.
 	 */
-	private final Map<RequestId, Effect.Send> exchanges = new HashMap<>();
+	private final Map<RequestId, Exchange> exchanges = new HashMap<>();
 
 	/**
 	 * The upstreams whose latest report says that they leave.
@@ -153,7 +153,8 @@
 	private final Set<UpstreamId> leaving = new HashSet<>();
 
 	/**
-	 * The incarnation that each upstream reported last.
+	 * The incarnation that each upstream is known to have, from its reports and from
+	 * grants.
 	 */
 	private final Map<UpstreamId, Long> upstreamIncarnations = new HashMap<>();
 
@@ -371,7 +372,8 @@
 		if (request.deadline() <= now) {
 			return Optional.of(RefusalReason.DEADLINE);
 		}
-		if (this.suspects.suspected(now, request.fingerprint())) {
+		if (this.suspects.suspected(now, request.fingerprint())
+				|| this.suspects.awaitsJudgement(request.fingerprint())) {
 			return Optional.of(RefusalReason.SUSPECTED);
 		}
 		return this.admission.check(request, this.topology.configuration());
@@ -408,14 +410,16 @@
 	}
 
 	private void exchangeEnded(Event.ExchangeEnded event) {
-		Effect.Send exchange = this.exchanges.remove(event.request());
+		Exchange exchange = this.exchanges.remove(event.request());
 		Request request = this.requests.get(event.request());
 		if (exchange != null && request != null) {
 			this.recorder.ended(this.topology, request, event);
 			judge(event, exchange, request);
 		}
+		boolean unrepeatable = event.answering()
+				|| request != null && this.suspects.awaitsJudgement(request.fingerprint());
 		Completion completion = this.dispatch.ended(event.at(), event.request(), event.ending(), event.cost(),
-				event.answering(), this.outbox);
+				unrepeatable, this.outbox);
 		if (completion == Completion.REQUEUED) {
 			this.claims.notRun(event.at(), event.request());
 			return;
@@ -427,18 +431,17 @@
 		this.requests.remove(event.request());
 	}
 
-	private void judge(Event.ExchangeEnded event, Effect.Send exchange, Request request) {
+	private void judge(Event.ExchangeEnded event, Exchange exchange, Request request) {
 		if (event.ending() == Ending.COMPLETED) {
 			this.suspects.completed(event.at(), request.fingerprint());
 		}
 		else if (event.ending() == Ending.BROKEN) {
-			long incarnation = this.upstreamIncarnations.getOrDefault(exchange.upstream(), 0L);
 			long together = 1 + this.exchanges.values()
 				.stream()
 				.filter((other) -> other.upstream().equals(exchange.upstream()))
 				.count();
-			this.suspects.crashed(event.at(), request.fingerprint(), exchange.upstream(), incarnation, (int) together,
-					this.outbox);
+			this.suspects.crashed(event.at(), request.fingerprint(), exchange.upstream(), exchange.incarnation(),
+					(int) together, this.outbox);
 			this.outbox.add(new Effect.Note(LogEvent.EXCHANGE_BROKEN, event.request().value()));
 		}
 	}
@@ -497,6 +500,9 @@
 			this.claims.received(event.at(), event.from(), message, this.outbox);
 		}
 		else {
+			if (message instanceof PeerMessage.Grant grant) {
+				this.upstreamIncarnations.put(grant.upstream(), grant.upstreamIncarnation());
+			}
 			this.dispatch.received(event.at(), event.from(), message, this.outbox);
 		}
 	}
@@ -620,7 +626,8 @@
 	}
 
 	private void sending(long now, Effect.Send send) {
-		this.exchanges.put(send.request(), send);
+		long incarnation = this.upstreamIncarnations.getOrDefault(send.upstream(), 0L);
+		this.exchanges.put(send.request(), new Exchange(send.upstream(), incarnation));
 		this.recorder.sent(this.topology, send);
 		Request request = this.requests.get(send.request());
 		if (request != null && request.key().isPresent()) {
@@ -640,6 +647,17 @@
 		this.claims.ended(now, refuse.request(), ending, Optional.empty(), this.outbox);
 	}
 
+	/**
+	 * An exchange under way.
+	 *
+	 * @param upstream the upstream
+	 * @param incarnation the incarnation of the upstream when the request was sent, 0 if
+	 * it is not known
+	 */
+	private record Exchange(UpstreamId upstream, long incarnation) {
+
+	}
+
 	/**
 	 * Passes requests whose claims hold on to dispatch.
 	 */
--- a/ebonyford/src/main/java/org/ebonyford/suspect/Suspects.java
+++ b/ebonyford/src/main/java/org/ebonyford/suspect/Suspects.java
@@ -215,6 +215,18 @@
 		return until != null && now < until;
 	}
 
+	/**
+	 * Returns whether a request was part of so many crashes that it must not run before
+	 * they are judged.
+	 * @param fingerprint the digest of the request
+	 * @return {@code true} if a crash that it was part of awaits judgement and it was
+	 * part of enough of them
+	 */
+	public boolean awaitsJudgement(Fingerprint fingerprint) {
+		return this.counts.getOrDefault(fingerprint, 0) >= this.settings.crashes()
+				&& this.unjudged.keySet().stream().anyMatch((crash) -> crash.requests().contains(fingerprint));
+	}
+
 	/**
 	 * Judges the crashes that all routers have had time to tell about, and forgets what
 	 * is too old.
--- a/ebonyford/src/test/java/org/ebonyford/suspect/SuspectsTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/suspect/SuspectsTest.java
@@ -42,6 +42,17 @@
 		assertTrue(judged(suspects, 1));
 	}
 
+	@Test
+	public void testRequestOfEnoughCrashesAwaitsJudgement() {
+		Suspects suspects = new Suspects(SuspectSettings.DEFAULT);
+		suspects.crashed(0, REQUEST, FIRST, 1, 1, this.outbox);
+		assertFalse(suspects.awaitsJudgement(REQUEST));
+		suspects.crashed(1, REQUEST, FIRST, 2, 1, this.outbox);
+		assertTrue(suspects.awaitsJudgement(REQUEST));
+		judged(suspects, 1);
+		assertFalse(suspects.awaitsJudgement(REQUEST));
+	}
+
 	@Test
 	public void testOneCrashCountsOnceHoweverOftenItIsTold() {
 		Suspects suspects = new Suspects(SuspectSettings.DEFAULT);
