Watch only connections whose request arrived whole, and bound slow bodies

Found by reading the code again, then shown by a test. A body could also take any time, byte by byte. The test of late answers sent its second request after the late answer and to an engine, so that the DELETE took the first connection: it stayed green on a naive variant.

Ruled out: a longer time before the first watch, which only makes the loss rarer; a bound by the server's idle timeout alone, which each byte starts anew.

Change: the watch begins once the request has arrived whole; a body has the default timeout to arrive, else 408; the late answer now comes while the second request waits; a test of a silent upstream; a longer warm-up for the latency.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/caller/BodyReader.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/caller/BodyReader.java
@@ -70,7 +70,7 @@
 	}
 
 	@Override
-	public void onDataAvailable() throws IOException {
+	public synchronized void onDataAvailable() throws IOException {
 		byte[] step = new byte[STEP];
 		while (!this.body.isDone() && this.input.isReady() && !this.input.isFinished()) {
 			int count = this.input.read(step);
@@ -81,12 +81,19 @@
 	}
 
 	@Override
-	public void onAllDataRead() {
+	public synchronized void onAllDataRead() {
 		this.body.complete(Arrays.copyOf(this.buffer, this.length));
 	}
 
+	/**
+	 * Gives up a body that has not arrived in time.
+	 */
+	synchronized void expire() {
+		reject(Rejection.BODY_TIMEOUT, "The body did not arrive in time.");
+	}
+
 	@Override
-	public void onError(Throwable ex) {
+	public synchronized void onError(Throwable ex) {
 		reject(Rejection.BODY_TIMEOUT, "The body did not arrive whole.");
 	}
 
--- a/ebonyford-router/src/main/java/org/ebonyford/router/caller/CallerServlet.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/caller/CallerServlet.java
@@ -243,6 +243,7 @@
 			throw new RejectedException(Rejection.OVERLOADED, "The router holds as many requests as it may.");
 		}
 		BodyReader reader = new BodyReader(this.settings.maxBodyBytes(), request.getInputStream(), this.pending);
+		answer.limitArrival(this.settings.defaultTimeoutMillis(), reader::expire);
 		reader.read().whenComplete((body, failure) -> {
 			if (failure instanceof RejectedException ex) {
 				reject(entry.id(), request, answer, ex);
@@ -262,6 +263,7 @@
 			reject(entry.id(), request, answer, ex);
 			return;
 		}
+		answer.arrived();
 		this.pending.add(arrived);
 		if (answer.isEnded()) {
 			this.pending.remove(entry.id());
--- a/ebonyford-router/src/main/java/org/ebonyford/router/caller/ConnectionMonitor.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/caller/ConnectionMonitor.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Finds callers that left while their request waits, and callers that read too slowly.
- * The servlet container reads nothing from a connection while a request on it is being
- * handled, so it can't tell that the caller has closed it. One thread serves all
+ * Finds callers that left while their request waits, and callers that write or read too
+ * slowly. The servlet container reads nothing from a connection while a request on it is
+ * being handled, so it can't tell that the caller has closed it. One thread serves all
  * connections.
  */
 final class ConnectionMonitor implements AutoCloseable {
@@ -91,7 +91,7 @@
 				answer.leave();
 			}
 			else {
-				answer.watch().begin(this.selector, answer);
+				answer.attend(this.selector);
 			}
 		}
 	}
--- a/ebonyford-router/src/main/java/org/ebonyford/router/caller/ServletAnswer.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/caller/ServletAnswer.java
@@ -1,6 +1,7 @@
 package org.ebonyford.router.caller;
 
 import java.io.IOException;
+import java.nio.channels.Selector;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -80,6 +81,22 @@
 	 */
 	private long progress;
 
+	/**
+	 * Whether the request has arrived whole.
+	 */
+	private boolean arrived;
+
+	/**
+	 * When the request must have arrived whole.
+	 */
+	private long arrivalLimit = Long.MAX_VALUE;
+
+	/**
+	 * Is run if the request has not arrived in time.
+	 */
+	private Runnable expiry = () -> {
+	};
+
 	/**
 	 * Creates an answer.
 	 * @param context the request in the servlet container
@@ -173,6 +190,36 @@
 		}
 	}
 
+	/**
+	 * Sets what happens to a request that does not arrive in time.
+	 * @param millis the milliseconds in which the request must arrive
+	 * @param action is run if it does not
+	 */
+	synchronized void limitArrival(long millis, Runnable action) {
+		this.arrivalLimit = this.clock.millis() + millis;
+		this.expiry = action;
+	}
+
+	/**
+	 * Takes the news that the request has arrived whole.
+	 */
+	synchronized void arrived() {
+		this.arrived = true;
+	}
+
+	/**
+	 * Looks after a request that waits for its answer or still arrives.
+	 * @param selector what waits for the connection
+	 */
+	void attend(Selector selector) {
+		if (hasArrived()) {
+			this.watch.begin(selector, this);
+		}
+		else if (this.clock.millis() > arrivalLimit()) {
+			expiry().run();
+		}
+	}
+
 	/**
 	 * Returns whether the answer has ended.
 	 * @return {@code true} if the caller left or has its whole answer
@@ -235,6 +282,18 @@
 	public void onStartAsync(AsyncEvent event) {
 	}
 
+	private synchronized boolean hasArrived() {
+		return this.arrived;
+	}
+
+	private synchronized long arrivalLimit() {
+		return this.arrivalLimit;
+	}
+
+	private synchronized Runnable expiry() {
+		return this.expiry;
+	}
+
 	private void pump() {
 		int gone = 0;
 		boolean done = false;
--- a/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerLoadTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerLoadTest.java
@@ -32,9 +32,9 @@
 
 	private static final int CONNECTIONS = 16;
 
-	private static final int REQUESTS = 400;
+	private static final int REQUESTS = 600;
 
-	private static final int WARM_UP = 125;
+	private static final int WARM_UP = 350;
 
 	private static final long INTERVAL_NANOS = 1_000_000_000L * CONNECTIONS / 1000;
 
--- a/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerServletTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerServletTest.java
@@ -1,5 +1,6 @@
 package org.ebonyford.router.caller;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
@@ -22,6 +23,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -128,6 +130,24 @@
 		}
 	}
 
+	@Test
+	public void testSlowBodyArrivesWhole() throws Exception {
+		try (CallerServer server = server(10, 100_000, Optional.empty()); Socket socket = server.connect()) {
+			sendSlowly(socket, 20, 15);
+			Request request = server.await(Event.RequestArrived.class, (event) -> true).request();
+			assertEquals(server.pending().find(request.id()).orElseThrow().content().body().length, 20);
+		}
+	}
+
+	@Test
+	public void testBodyHasToArriveInTime() throws Exception {
+		try (CallerServer server = server(10, 100_000, Optional.empty()); Socket socket = server.connect()) {
+			assertThrows(IOException.class, () -> sendSlowly(socket, 200, 100));
+			assertEquals(server.events(), List.of());
+			assertEquals(server.pending().size(), 0);
+		}
+	}
+
 	@Test
 	public void testNothingIsTakenWithoutConfiguration() throws Exception {
 		try (CallerServer server = new CallerServer(CallerSettings.defaults(), CallerServer.settings(0),
@@ -181,6 +201,16 @@
 		}
 	}
 
+	private static void sendSlowly(Socket socket, int length, long pause) throws Exception {
+		String head = "PUT /services/booking/x HTTP/1.1\r\nHost: x\r\n" + KEY + "Content-Length: " + length
+				+ "\r\n\r\n";
+		socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+		for (int each = 0; each < length; each++) {
+			Thread.sleep(pause);
+			socket.getOutputStream().write('x');
+		}
+	}
+
 	private static CallerServer server(int requests, long bytes, Optional<Refusal> refusal) throws Exception {
 		CallerSettings settings = new CallerSettings(4000, bytes, 16_384, 64, 1000, 2000, requests, 1000, 65_536, 50);
 		return new CallerServer(settings, CallerServer.settings(0), Optional.of(CallerServer.configuration()),
--- a/ebonyford-router/src/test/java/org/ebonyford/router/upstream/ExchangesTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/upstream/ExchangesTest.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -121,6 +122,17 @@
 		}
 	}
 
+	@Test
+	public void testSilentUpstreamCountsAsBroken() throws Exception {
+		UpstreamSettings settings = new UpstreamSettings(10, 10, 500, 500, 300, 20_000, 1, 0, 20);
+		try (FakeUpstream upstream = new FakeUpstream((request, wire) -> Thread.sleep(60_000));
+				CallerServer server = new CallerServer(CallerSettings.defaults(), settings,
+						Optional.of(CallerServer.configuration()), CallerServer.toUpstream(upstream.address()))) {
+			assertEquals(server.call("POST", COMPLETIONS, PLAIN).statusCode(), 502);
+			assertEquals(server.awaitEnd().ending(), Ending.BROKEN);
+		}
+	}
+
 	@DataProvider
 	public Object[][] unavailable() {
 		return new Object[][] { { "X-Not-Run: true\r\n", Ending.DECLINED }, { "X-Not-Run: no\r\n", Ending.COMPLETED },
@@ -245,12 +257,25 @@
 			}
 			ECHO.answer(request, wire);
 		}, (upstream, server) -> {
-			Socket first = server.complete(PLAIN);
+			Socket first = server.connect();
+			first.getOutputStream()
+				.write(("GET /services/booking/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + CallerServer.KEY
+						+ "\r\n\r\n")
+					.getBytes(StandardCharsets.UTF_8));
 			awaitRequests(upstream, 1);
 			server.handle(new Effect.Cancel(new RequestId("r-1")));
 			readUntil(first, "unknown");
+			CompletableFuture<String> second = CompletableFuture.supplyAsync(() -> {
+				try {
+					return server.call("POST", "/services/booking/x", PLAIN).body();
+				}
+				catch (Exception ex) {
+					throw new IllegalStateException(ex);
+				}
+			});
+			Thread.sleep(100);
 			late.countDown();
-			assertEquals(server.call("POST", COMPLETIONS, PLAIN).body(), PLAIN);
+			assertEquals(second.get(), PLAIN);
 			assertEquals(server.awaitEnd().ending(), Ending.CANCELLED);
 			assertTrue(upstream.accepted() > 1);
 		});
