Tell statuses and write lists without publishing them

Cause: a failure between processes has to show what each router and each engine said, and a race of operators needs lists of their own. Ruled out: publishing the same lists twice as a race; the second of two equal publications is no change, so both operators rightly succeed.

--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/Router.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/Router.java
@@ -7,6 +7,7 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 
 import org.ebonyford.emulator.process.OwnedProcess;
@@ -58,7 +59,7 @@
 	static Router start(RouterSettings settings, Path executable, Path directory) {
 		Path file = directory.resolve(settings.vm() + ".ini");
 		settings.write(file);
-		List<String> options = new java.util.ArrayList<>(JAVA_OPTIONS);
+		List<String> options = new ArrayList<>(JAVA_OPTIONS);
 		options.add(executable.toString());
 		OwnedProcess process = OwnedProcess.java(settings.vm(), directory, options,
 				List.of("router", "--settings", file.toString()));
@@ -158,13 +159,16 @@
 	}
 
 	/**
-	 * Reads a page of the operators' interface.
-	 * @param path the path of the page
-	 * @return its text
-	 * @throws IOException if the router does not answer
+	 * Reads what the router tells operators about itself.
+	 * @return the status as JSON, empty if the router does not answer
 	 */
-	public String page(String path) throws IOException {
-		return get(path).body();
+	public String status() {
+		try {
+			return get("/status").body();
+		}
+		catch (IOException ex) {
+			return "";
+		}
 	}
 
 	@Override
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/Site.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/Site.java
@@ -133,14 +133,6 @@
 		return this.deployment;
 	}
 
-	/**
-	 * Returns where settings, published lists and output are.
-	 * @return the directory, which is removed when the site is closed
-	 */
-	public Path directory() {
-		return this.directory;
-	}
-
 	/**
 	 * Returns the stand-ins, which judge.
 	 * @return the stand-ins
@@ -204,10 +196,26 @@
 	 * @return how the command ended
 	 */
 	public CommandResult publish(Deployment changed) {
-		ConfigurationFiles.of(changed, (upstream) -> reach(upstream, this.standIns.address(upstream)))
-			.write(this.directory);
-		return operate("publish", "--plans", this.directory.resolve("plans.ini").toString(), "--uses",
-				this.directory.resolve("uses.ini").toString());
+		Path lists = write(changed, "published");
+		return operate("publish", "--plans", lists.resolve("plans.ini").toString(), "--uses",
+				lists.resolve("uses.ini").toString());
+	}
+
+	/**
+	 * Writes the lists of a deployment and publishes nothing.
+	 * @param changed the deployment
+	 * @param name the name of the directory that takes the lists
+	 * @return the directory, which holds {@code plans.ini} and {@code uses.ini}
+	 */
+	public Path write(Deployment changed, String name) {
+		try {
+			Path lists = Files.createDirectories(this.directory.resolve(name));
+			ConfigurationFiles.of(changed, (upstream) -> reach(upstream, this.standIns.address(upstream))).write(lists);
+			return lists;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
 	}
 
 	/**
