--- a/ebonyford-router/src/main/java/org/ebonyford/router/settings/RouterKeys.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/settings/RouterKeys.java
@@ -393,12 +393,6 @@
 		public static final Setting<Integer> IO_THREADS = Setting.standard("upstreams", "io-threads",
 				SettingFormats.COUNT, "2", "The number of threads that serve all connections to upstreams.");
 
-		/**
-		 * The size of an answer that a router keeps before it slows the upstream down.
-		 */
-		public static final Setting<Long> BUFFER = Setting.standard("upstreams", "buffer", SettingFormats.SIZE,
-				"64 KiB", "The size of an answer that a router keeps before it slows the upstream down.");
-
 		/**
 		 * How often one stream is resumed.
 		 */
@@ -415,8 +409,7 @@
 		 * The settings of the section.
 		 */
 		private static final List<Setting<?>> ALL = List.of(LOAD_POLL, LOAD_TIMEOUT, CONNECT_TIMEOUT, SILENCE,
-				KEEP_ALIVE, POOL_WAIT, MAX_CONNECTIONS, MAX_CONNECTIONS_EACH, IO_THREADS, BUFFER, MAX_RESUMES,
-				RESUME_DELAY);
+				KEEP_ALIVE, POOL_WAIT, MAX_CONNECTIONS, MAX_CONNECTIONS_EACH, IO_THREADS, MAX_RESUMES, RESUME_DELAY);
 
 		private Upstreams() {
 		}
@@ -580,10 +573,12 @@
 				"How long an idempotency key is remembered after its claim.");
 
 		/**
-		 * By how much the wall clocks of two VMs differ at most.
+		 * By how much the wall clocks of VMs differ and an append takes effect late,
+		 * together at most.
 		 */
 		public static final Setting<Long> CLOCK_SKEW = Setting.standard("claims", "clock-skew", SettingFormats.TIME,
-				"5 s", "By how much the wall clocks of two VMs differ at most.");
+				"1 min",
+				"By how much the wall clocks of VMs differ and an append takes effect late, together at most.");
 
 		/**
 		 * The time over which routers spread the restating of statements that the log is
@@ -674,7 +669,7 @@
 		 * The characters of all kept answers beyond which the oldest are forgotten.
 		 */
 		public static final Setting<Integer> MAX_ANSWERS = Setting.standard("claims", "max-answers",
-				SettingFormats.COUNT, "16777216",
+				SettingFormats.COUNT, "8388608",
 				"The characters of all kept answers beyond which the oldest are forgotten.");
 
 		/**
--- a/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Exchange.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Exchange.java
@@ -162,13 +162,14 @@
 		}
 		boolean events = value(response, "Content-Type").startsWith(EVENT_STREAM);
 		boolean engineEvents = events && this.pending.content().kind() == Pool.Kind.ENGINE;
-		boolean delimited = details == null || details.isChunked() || details.getContentLength() >= 0;
+		boolean delimited = details == null || details.getContentLength() >= 0
+				|| !value(response, "Transfer-Encoding").isEmpty();
 		if (engineEvents && details == null || !engineEvents && !delimited) {
 			broken();
 			return;
 		}
 		Relay.Head head = head(response);
-		int buffer = this.exchanges.settings().bufferBytes();
+		int buffer = this.exchanges.connections().bufferBytes();
 		this.relay = engineEvents ? new Relay.OfEvents(this.pending, head, this.flow, buffer)
 				: new Relay.OfBytes(this.pending, head, this.flow, events ? 0 : buffer);
 	}
--- a/ebonyford-router/src/main/java/org/ebonyford/router/upstream/UpstreamConnections.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/upstream/UpstreamConnections.java
@@ -1,6 +1,9 @@
 package org.ebonyford.router.upstream;
 
 import java.util.concurrent.CancellationException;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.apache.hc.client5.http.HttpRoute;
@@ -31,11 +34,21 @@
  */
 public final class UpstreamConnections implements AutoCloseable {
 
+	/**
+	 * The milliseconds in which idle connections are closed in an orderly way.
+	 */
+	private static final long SHUTDOWN_MILLIS = 200;
+
 	/**
 	 * The bounds on the connections.
 	 */
 	private final UpstreamSettings settings;
 
+	/**
+	 * The bytes of an answer that are kept before its upstream is slowed down.
+	 */
+	private final int bufferBytes;
+
 	/**
 	 * The pool.
 	 */
@@ -46,22 +59,41 @@
 	 */
 	private final MinimalHttpAsyncClient client;
 
+	/**
+	 * Ends waits for a connection, since the pool looks at its waits only when a
+	 * connection comes back.
+	 */
+	private final ScheduledExecutorService scheduler;
+
 	/**
 	 * Creates a pool without connections and starts its threads.
 	 * @param settings the bounds on the connections
+	 * @param bufferBytes the bytes of an answer that are kept before its upstream is
+	 * slowed down
+	 * @param scheduler ends waits for a connection
 	 */
-	public UpstreamConnections(UpstreamSettings settings) {
+	public UpstreamConnections(UpstreamSettings settings, int bufferBytes, ScheduledExecutorService scheduler) {
 		this.settings = settings;
+		this.bufferBytes = bufferBytes;
+		this.scheduler = scheduler;
 		this.pool = pool(settings);
 		IOReactorConfig reactor = IOReactorConfig.custom()
 			.setIoThreadCount(settings.ioThreads())
 			.setTcpNoDelay(true)
 			.build();
-		Http1Config http = Http1Config.custom().setInitialWindowSize(settings.bufferBytes()).build();
+		Http1Config http = Http1Config.custom().setInitialWindowSize(bufferBytes).build();
 		this.client = HttpAsyncClients.createMinimal(H2Config.DEFAULT, http, reactor, this.pool);
 		this.client.start();
 	}
 
+	/**
+	 * Returns the bytes of an answer that are kept before its upstream is slowed down.
+	 * @return the number of bytes, which is also the largest event of a stream
+	 */
+	int bufferBytes() {
+		return this.bufferBytes;
+	}
+
 	/**
 	 * Leases a connection, and makes it if none is idle.
 	 * @param host the upstream
@@ -70,13 +102,16 @@
 	 */
 	void lease(HttpHost host, Consumer<AsyncConnectionEndpoint> leased, Consumer<Exception> failed) {
 		Timeout wait = Timeout.ofMilliseconds(this.settings.poolWaitMillis());
-		this.pool.lease("", new HttpRoute(host), null, wait, new Callback(failed, (endpoint) -> {
+		Future<?> lease = this.pool.lease("", new HttpRoute(host), null, wait, new Callback(failed, (endpoint) -> {
 			if (endpoint.isConnected()) {
 				activate(endpoint, leased);
 				return;
 			}
 			connect(endpoint, leased, failed);
 		}));
+		if (!lease.isDone()) {
+			this.scheduler.schedule(() -> lease.cancel(true), this.settings.poolWaitMillis(), TimeUnit.MILLISECONDS);
+		}
 	}
 
 	/**
@@ -98,7 +133,14 @@
 
 	@Override
 	public void close() {
-		this.client.close(CloseMode.GRACEFUL);
+		this.client.initiateShutdown();
+		try {
+			this.client.awaitShutdown(TimeValue.ofMilliseconds(SHUTDOWN_MILLIS));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		this.client.close(CloseMode.IMMEDIATE);
 	}
 
 	private void connect(AsyncConnectionEndpoint endpoint, Consumer<AsyncConnectionEndpoint> leased,
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/DispatchSettings.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/DispatchSettings.java
@@ -75,23 +75,34 @@
 		return new DispatchSettings(this.times, this.retries, this.debtRounds, this.warmUp, this.slotOwners, value);
 	}
 
+	/**
+	 * Returns settings with another bound on debt.
+	 * @param value the number of times that a debt may fill all slots of the pool
+	 * @return the settings
+	 */
+	public DispatchSettings withDebtRounds(int value) {
+		return new DispatchSettings(this.times, this.retries, value, this.warmUp, this.slotOwners, this.ownerSelection);
+	}
+
 	/**
 	 * Bounds in time, all in milliseconds.
 	 *
 	 * @param grantValidity how long after the demand that it answers a grant may be used
 	 * @param handover how long a slot that moves between live routers stays unused; at
 	 * least the validity of grants, the lag of the VM list and its poll period together
-	 * @param startUp how long a router that starts leaves its slots unused; at least the
-	 * validity of grants and the period of confirmations together
+	 * @param startUp how long a slot stays unused after all routers follow the list that
+	 * moved it, and after the start of a router; at least the validity of grants and the
+	 * period of confirmations together
 	 * @param confirmation the period in which an entry router confirms running requests
 	 * @param silence how long a running request may go unconfirmed
-	 * @param orphan how long a request may run on after its routers are lost
+	 * @param orphan how long a request may run on after its routers are lost, at most
 	 * @param abandoned how long a request may run on after its exchange broke or was
 	 * cancelled
 	 * @param stale the age of a load report beyond which an upstream counts as cold
 	 * @param lost the age of a load report beyond which an upstream gets no work
 	 * @param gossip the period in which changed service totals are sent
-	 * @param idle how long an organisation without backlog keeps its place
+	 * @param idle how long an organisation without backlog keeps its place, the largest
+	 * number for ever
 	 * @param demand the shortest time between two demands to one owner
 	 * @param refresh the longest time between two demands to one owner while requests
 	 * wait
@@ -118,7 +129,18 @@
 		 * @return the bounds
 		 */
 		public static Times defaults() {
-			return new Times(1_000, 8_000, 2_200, 1_000, 3_500, 10_000, 1_000, 1_500, 5_000, 250, 1_000, 5, 250, 5);
+			return new Times(1_000, 8_000, 2_200, 1_000, 3_500, 30_000, 1_000, 600, 5_000, 250, 1_000, 5, 250, 5);
+		}
+
+		/**
+		 * Returns bounds with another time until an organisation counts as idle.
+		 * @param value the milliseconds
+		 * @return the bounds
+		 */
+		public Times withIdle(long value) {
+			return new Times(this.grantValidity, this.handover, this.startUp, this.confirmation, this.silence,
+					this.orphan, this.abandoned, this.stale, this.lost, this.gossip, value, this.demand, this.refresh,
+					this.escalation);
 		}
 
 		private static void require(boolean condition, String message) {
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Entry.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Entry.java
@@ -115,9 +115,10 @@
 	 * @param organisation the organisation
 	 * @param permission the permission to send it
 	 * @param outbox takes the request
-	 * @return whether a request was waiting
+	 * @return whether a request was waiting whose deadline has not passed
 	 */
 	boolean start(long now, PoolState pool, OrganisationId organisation, Permission permission, Outbox outbox) {
+		expire(now, pool, outbox);
 		Optional<Waiting> first = pool.queue().poll(organisation);
 		if (first.isEmpty()) {
 			return false;
@@ -125,7 +126,7 @@
 		RequestId id = first.get().request().id();
 		UpstreamState upstream = permission.upstream();
 		this.waiting.remove(id);
-		this.running.put(id, new Running(first.get(), permission.grant(), upstream, permission.slot(), false));
+		this.running.put(id, new Running(first.get(), permission.grant(), upstream, permission.slot(), now, false));
 		upstream.started();
 		pool.queueChanged(now, organisation);
 		outbox.add(new Effect.Send(id, upstream.upstream().id(), upstream.upstream().address(), permission.notAfter()));
@@ -148,6 +149,7 @@
 			return Completion.UNTRACKED;
 		}
 		exchange.upstream().ended();
+		this.fleet.pool(exchange.waiting().request().pool()).ifPresent((pool) -> pool.lasted(now - exchange.since()));
 		if (ending == Ending.BROKEN) {
 			exchange.upstream().warmth().doubt(now);
 		}
@@ -166,13 +168,26 @@
 	 */
 	void expire(long now, Outbox outbox) {
 		for (PoolState pool : this.fleet.pools()) {
-			boolean open = pool.open();
-			pool.queue().expire(open ? now : Long.MAX_VALUE, (gone) -> {
-				this.waiting.remove(gone.request().id());
-				pool.queueChanged(now, gone.request().organisation());
-				RefusalReason reason = open ? RefusalReason.DEADLINE : RefusalReason.NO_UPSTREAM;
-				refuse(gone.request().id(), reason, gone.outcome(), outbox);
-			});
+			expire(now, pool, outbox);
+		}
+	}
+
+	/**
+	 * Takes in that the event loop stood still.
+	 * @param now the clock reading in milliseconds
+	 */
+	void resume(long now) {
+		this.running.replaceAll((id, exchange) -> exchange.resume(now));
+	}
+
+	/**
+	 * Takes in how long the running requests have lasted so far.
+	 * @param now the clock reading in milliseconds
+	 */
+	void age(long now) {
+		for (Running exchange : this.running.values()) {
+			this.fleet.pool(exchange.waiting().request().pool())
+				.ifPresent((pool) -> pool.lasting(now - exchange.since()));
 		}
 	}
 
@@ -184,6 +199,16 @@
 		return this.waiting.size();
 	}
 
+	private void expire(long now, PoolState pool, Outbox outbox) {
+		boolean open = pool.open();
+		pool.queue().expire(open ? now : Long.MAX_VALUE, (gone) -> {
+			this.waiting.remove(gone.request().id());
+			pool.queueChanged(now, gone.request().organisation());
+			RefusalReason reason = open ? RefusalReason.DEADLINE : RefusalReason.NO_UPSTREAM;
+			refuse(gone.request().id(), reason, gone.outcome(), outbox);
+		});
+	}
+
 	private Optional<RefusalReason> refusal(long now, Request request, Optional<PoolState> pool) {
 		if (pool.isEmpty()) {
 			return Optional.of(this.fleet.topology().isEmpty() ? RefusalReason.NOT_READY : RefusalReason.NO_SUCH_POOL);
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Owner.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Owner.java
@@ -23,6 +23,16 @@
  */
 final class Owner {
 
+	/**
+	 * The milliseconds for which the end of a grant is awaited that occupies no slot.
+	 */
+	private static final long KEEP_MILLIS = 600_000;
+
+	/**
+	 * How often slots and demand are looked through in the period of confirmations.
+	 */
+	private static final int TICKS = 10;
+
 	/**
 	 * The pools, the upstreams and the other routers.
 	 */
@@ -43,6 +53,12 @@
 	 */
 	private long sequence;
 
+	/**
+	 * The clock reading in milliseconds at which slots and demand are looked through
+	 * next.
+	 */
+	private long tickAt;
+
 	/**
 	 * Whether the router stood still and has not got a fresh topology since.
 	 */
@@ -142,12 +158,16 @@
 	 * Takes in a load report.
 	 * @param now the clock reading in milliseconds
 	 * @param upstream the upstream
-	 * @param report the report
+	 * @param report the report, or empty if the upstream could not be asked
 	 * @param outbox takes grants
 	 */
-	void reported(long now, UpstreamState upstream, LoadReport report, Outbox outbox) {
-		if (upstream.warmth().reported(now, report)) {
-			upstream.slots().reported(upstream.warmth().sampledAt(), report.running());
+	void reported(long now, UpstreamState upstream, Optional<LoadReport> report, Outbox outbox) {
+		if (report.isEmpty()) {
+			upstream.warmth().doubt(now);
+			return;
+		}
+		if (upstream.warmth().reported(now, report.get())) {
+			upstream.slots().reported(now, upstream.warmth().sampledAt(), report.get().running());
 			this.fleet.pool(upstream.upstream().pool()).ifPresent((pool) -> serve(now, pool, outbox));
 		}
 	}
@@ -158,10 +178,10 @@
 	 * @param vm the VM of the entry router
 	 */
 	void lost(long now, VmId vm) {
-		for (UpstreamState upstream : this.fleet.upstreams()) {
-			upstream.slots().lost(vm, now, this.fleet.settings().times().orphan());
-		}
 		for (PoolState pool : this.fleet.pools()) {
+			for (UpstreamState upstream : pool.upstreams()) {
+				upstream.slots().lost(vm, now);
+			}
 			pool.ledger().lost(now, vm);
 			changed(now, pool, pool.demand().forget(vm));
 		}
@@ -173,10 +193,15 @@
 	 */
 	void tick(long now) {
 		DispatchSettings.Times times = this.fleet.settings().times();
-		for (UpstreamState upstream : this.fleet.upstreams()) {
-			upstream.slots().tick(now, times.silence(), times.orphan());
+		if (now < this.tickAt) {
+			return;
 		}
+		this.tickAt = now + times.confirmation() / TICKS;
+		this.charges.values().removeIf((charge) -> charge.forgotten(now - KEEP_MILLIS));
 		for (PoolState pool : this.fleet.pools()) {
+			for (UpstreamState upstream : pool.upstreams()) {
+				upstream.slots().tick(now, times.silence(), pool.orphanMillis(times));
+			}
 			long before = now - times.grantValidity() / 2;
 			pool.demand()
 				.outdated(before, this.fleet.self().vm())
@@ -238,11 +263,13 @@
 		int slot = upstream.freeSlot(now);
 		long cost = account.estimate().estimate(turn.hint());
 		upstream.slots().occupy(slot, new Occupant(grant, organisation, turn.entry(), now, now + validity));
-		this.charges.put(grant.sequence(), new Charge(pool, account, upstream, slot, turn.hint(), cost));
+		this.charges.put(grant.sequence(), new Charge(grant, now, pool, account, upstream, slot, turn.hint(), cost));
 		pool.ledger().charge(account, cost);
 		if (turn.entry().equals(this.fleet.self().vm())) {
-			this.entry.start(now, pool, organisation, new Entry.Permission(grant, upstream, slot, now + validity),
-					outbox);
+			Entry.Permission permission = new Entry.Permission(grant, upstream, slot, now + validity);
+			if (!this.entry.start(now, pool, organisation, permission, outbox)) {
+				ended(now, grant, Ending.NOT_SENT, 0, outbox);
+			}
 		}
 		else {
 			outbox.add(new Effect.ToPeer(turn.entry(),
@@ -261,6 +288,7 @@
 			case NOT_SENT -> upstream.slots().vacate(slot, grant);
 			case DECLINED -> {
 				upstream.failed(now, settings.retries());
+				upstream.warmth().doubt(now);
 				upstream.slots().vacate(slot, grant);
 			}
 			case BROKEN -> {
