Slots: routers that left the list have to follow it too; a pause ends without a new list

Cause: found by reading the composed reducer and by a new test. (a) A slot was taken over as soon as all listed routers followed the new list, but its former owner, off the list and last to read it, still granted: 1 above the limit. (b) After a pause nothing was granted until a topology came, and an unchanged list gives none, so a paused router would have idled for good. (c) A request that was withdrawn before it was sent made its upstream count as cold, and a cancelled one held its slot for 1 s. Ruled out: waiting the handover time for every move, which idles slots for 8 s at each planned stop. Change: routers that left the list within the handover time have to follow it as well; a topology that does not come within 2.2 s after a pause counts as unchanged; a withdrawn request hands its grant back; a cancelled request holds its slot for 0.1 s.

--- a/ebonyford/src/main/java/org/ebonyford/dispatch/DispatchSettings.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/DispatchSettings.java
@@ -96,8 +96,7 @@
 	 * @param confirmation the period in which an entry router confirms running requests
 	 * @param silence how long a running request may go unconfirmed
 	 * @param orphan how long a request may run on after its routers are lost, at most
-	 * @param abandoned how long a request may run on after its exchange broke or was
-	 * cancelled
+	 * @param abandoned how long a request may run on after its exchange broke
 	 * @param stale the age of a load report beyond which an upstream counts as cold
 	 * @param lost the age of a load report beyond which an upstream gets no work
 	 * @param gossip the period in which changed service totals are sent
@@ -112,6 +111,11 @@
 	public record Times(long grantValidity, long handover, long startUp, long confirmation, long silence, long orphan,
 			long abandoned, long stale, long lost, long gossip, long idle, long demand, long refresh, long escalation) {
 
+		/**
+		 * The part of the time of an abandoned request after which a cancelled one ended.
+		 */
+		private static final long CANCELLED_SHARE = 10;
+
 		/**
 		 * Creates bounds.
 		 * @throws IllegalArgumentException if the bounds contradict each other
@@ -143,6 +147,15 @@
 					this.escalation);
 		}
 
+		/**
+		 * Returns how long a request may run on after it was cancelled, which the
+		 * upstream learns of sooner than of a broken connection.
+		 * @return the milliseconds
+		 */
+		public long cancelled() {
+			return this.abandoned / CANCELLED_SHARE;
+		}
+
 		private static void require(boolean condition, String message) {
 			if (!condition) {
 				throw new IllegalArgumentException(message);
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Entry.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Entry.java
@@ -154,7 +154,8 @@
 			exchange.upstream().warmth().doubt(now);
 		}
 		Completion completion = complete(now, exchange, ending, answering, outbox);
-		Ending told = (ending == Ending.NOT_SENT) ? Ending.DECLINED : ending;
+		boolean failed = ending == Ending.NOT_SENT && !exchange.withdrawn();
+		Ending told = failed ? Ending.DECLINED : ending;
 		this.reply.ended(now, exchange.grant().owner().vm(), exchange.grant(), told, cost, outbox);
 		tellPresentOwner(now, exchange, told, cost, outbox);
 		return completion;
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Fleet.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Fleet.java
@@ -61,6 +61,12 @@
 	 */
 	private final Map<VmId, Long> revisions = new HashMap<>();
 
+	/**
+	 * The routers that left the list, by the clock reading in milliseconds until which
+	 * they may not have read the list without them.
+	 */
+	private final Map<VmId, Long> departed = new HashMap<>();
+
 	/**
 	 * The fleet's topology, or {@code null} before the first one.
 	 */
@@ -181,6 +187,7 @@
 			this.startedUpAt = now + this.settings.times().startUp();
 		}
 		Move move = move(now, next);
+		depart(now, next);
 		this.topology = next;
 		this.pools.values().forEach((pool) -> pool.configure(pool.pool()));
 		this.upstreams.values().forEach(UpstreamState::close);
@@ -213,15 +220,26 @@
 		return new Move(now + this.settings.times().handover(), listed ? next.listRevision() : Long.MAX_VALUE);
 	}
 
+	private void depart(long now, Topology next) {
+		if (this.topology != null) {
+			for (VmId router : this.topology.routers()) {
+				this.departed.put(router, now + this.settings.times().handover());
+			}
+		}
+		this.departed.keySet().removeAll(next.routers());
+	}
+
 	private void confirm(long now) {
 		if (this.topology == null) {
 			return;
 		}
 		long all = Long.MAX_VALUE - 1;
-		for (VmId router : this.topology.routers()) {
-			if (!router.equals(this.self.vm())) {
-				all = Math.min(all, this.revisions.getOrDefault(router, Long.MIN_VALUE));
-			}
+		this.departed.values().removeIf((until) -> until < now);
+		Set<VmId> others = new HashSet<>(this.topology.routers());
+		others.addAll(this.departed.keySet());
+		others.remove(this.self.vm());
+		for (VmId router : others) {
+			all = Math.min(all, this.revisions.getOrDefault(router, Long.MIN_VALUE));
 		}
 		for (UpstreamState upstream : this.upstreams.values()) {
 			upstream.slots().followed(all, now + this.settings.times().startUp());
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Owner.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Owner.java
@@ -60,9 +60,10 @@
 	private long tickAt;
 
 	/**
-	 * Whether the router stood still and has not got a fresh topology since.
+	 * The clock reading in milliseconds until which nothing is granted unless a fresh
+	 * topology comes, since the router stood still.
 	 */
-	private boolean suspended;
+	private long suspendedUntil = Long.MIN_VALUE;
 
 	Owner(Fleet fleet, Entry entry) {
 		this.fleet = fleet;
@@ -90,7 +91,7 @@
 	 * @param outbox takes grants
 	 */
 	void serve(long now, PoolState pool, Outbox outbox) {
-		if (this.suspended) {
+		if (now < this.suspendedUntil) {
 			return;
 		}
 		Optional<Account> next = pool.ledger().next();
@@ -211,12 +212,13 @@
 	}
 
 	/**
-	 * Grants nothing until a fresh topology and fresh reports come.
+	 * Grants nothing until a fresh topology and fresh reports come. A topology that has
+	 * not come within the time of a start is an old one still in force.
 	 * @param now the clock reading in milliseconds
 	 * @param moved whether slots may have had other owners meanwhile
 	 */
 	void suspend(long now, boolean moved) {
-		this.suspended = true;
+		this.suspendedUntil = now + this.fleet.settings().times().startUp();
 		for (UpstreamState upstream : this.fleet.upstreams()) {
 			upstream.warmth().distrust(now);
 			upstream.slots().confirm(now);
@@ -235,7 +237,7 @@
 	 * Takes in that a fresh topology came.
 	 */
 	void refreshed() {
-		this.suspended = false;
+		this.suspendedUntil = Long.MIN_VALUE;
 	}
 
 	private void changed(long now, PoolState pool, Collection<OrganisationId> organisations) {
@@ -296,7 +298,7 @@
 				upstream.warmth().doubt(now);
 				upstream.slots().hold(slot, grant, now, now + settings.times().abandoned());
 			}
-			case CANCELLED -> upstream.slots().hold(slot, grant, now, now + settings.times().abandoned());
+			case CANCELLED -> upstream.slots().hold(slot, grant, now, now + settings.times().cancelled());
 		}
 	}
 
--- a/ebonyford/src/test/java/org/ebonyford/dispatch/DispatchFaultTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/dispatch/DispatchFaultTest.java
@@ -108,6 +108,15 @@
 		});
 	}
 
+	@Test(dataProvider = "costs")
+	public void testRouterThatIsTheLastToReadTheListMakesNoSecondOwner(int scale) {
+		verify(scale, 15_000, (fleet) -> {
+			fleet.routers.get(5).extraLag = 5_000;
+			fleet.list(Set.of(0, 1, 2, 3, 4, 6));
+			fleet.run(7_000);
+		});
+	}
+
 	@Test(dataProvider = "costs")
 	public void testRoutersThatRestartEmptyLeaveNoRoomTwice(int scale) {
 		verify(scale, 15_000, (fleet) -> {
--- a/ebonyford/src/test/java/org/ebonyford/dispatch/DispatchTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/dispatch/DispatchTest.java
@@ -206,6 +206,23 @@
 		assertEquals(sent(effects).request(), ID);
 	}
 
+	@Test
+	public void testUnchangedTopologyIsInForceAgainSomeTimeAfterAPause() {
+		this.now += 500;
+		call((outbox) -> this.dispatch.resumed(this.now, outbox));
+		enqueue(request(ID, ENGINES));
+		assertTrue(pass(2_100).isEmpty());
+		assertEquals(sent(pass(100)).request(), ID);
+	}
+
+	@Test
+	public void testRequestWithdrawnBeforeItWasSentDoesNotStopItsUpstream() {
+		enqueue(request(ID, ENGINES));
+		call((outbox) -> this.dispatch.withdraw(this.now, ID, outbox));
+		assertEquals(end(Ending.NOT_SENT), Completion.OVER);
+		assertEquals(sent(enqueue(request(new RequestId("next"), ENGINES))).upstream(), ENGINE);
+	}
+
 	@Test
 	public void testNothingIsGrantedAfterAPauseUntilAFreshReport() {
 		this.now += 500;
--- a/ebonyford/src/test/java/org/ebonyford/dispatch/FakeFleet.java
+++ b/ebonyford/src/test/java/org/ebonyford/dispatch/FakeFleet.java
@@ -354,6 +354,9 @@
 
 		boolean alive;
 
+		/** The milliseconds by which the router reads the list later than others. */
+		long extraLag;
+
 		private final Deque<BiConsumer<Dispatch, Outbox>> frozen = new ArrayDeque<>();
 
 		private boolean freezing;
@@ -432,7 +435,7 @@
 		void readList() {
 			Set<VmId> list = FakeFleet.this.listed;
 			long version = FakeFleet.this.revision;
-			at(10 + (long) (FakeFleet.this.random.nextDouble() * FakeFleet.this.listLag), () -> {
+			at(this.extraLag + 10 + (long) (FakeFleet.this.random.nextDouble() * FakeFleet.this.listLag), () -> {
 				if (this.alive && version == FakeFleet.this.revision) {
 					this.revision = version;
 					event((dispatch, outbox) -> dispatch.topology(clock(), topology(list, version), outbox));
