--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Fleet.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Fleet.java
@@ -93,6 +93,15 @@
 		return Optional.ofNullable(this.pools.get(id));
 	}
 
+	/**
+	 * Returns whether a pool is a part of the configuration in force.
+	 * @param id the name of the pool
+	 * @return whether it is configured
+	 */
+	boolean configured(PoolId id) {
+		return this.topology != null && this.topology.configuration().pools().containsKey(id);
+	}
+
 	Collection<UpstreamState> upstreams() {
 		return this.upstreams.values();
 	}
@@ -135,8 +144,9 @@
 	 * Takes in whether a router can be reached.
 	 * @param vm the VM of the router
 	 * @param reachable whether it can be reached
+	 * @return whether this is news
 	 */
-	void reachable(VmId vm, boolean reachable) {
+	boolean reachable(VmId vm, boolean reachable) {
 		boolean changed = reachable ? this.lost.remove(vm) : this.lost.add(vm);
 		if (!reachable) {
 			this.revisions.remove(vm);
@@ -144,6 +154,7 @@
 		if (changed && this.topology != null) {
 			selectOwners();
 		}
+		return changed;
 	}
 
 	/**
@@ -228,10 +239,10 @@
 		}
 		state.configure(upstream, pool.pool(), this.topology.open(upstream.id()));
 		pool.upstreams().add(state);
-		assign(state, owners(upstream.id(), pool.pool().warmLimit(), candidates), move, moved);
+		assign(state, owners(upstream, pool.pool().warmLimit(), candidates), move, moved);
 	}
 
-	private VmId[] owners(UpstreamId upstream, int slots, List<VmId> candidates) {
+	private VmId[] owners(Upstream upstream, int slots, List<VmId> candidates) {
 		VmId[] owners = new VmId[slots];
 		for (int slot = 0; slot < slots; slot++) {
 			owners[slot] = this.settings.slotOwners().owner(upstream, slot, candidates).orElse(null);
@@ -272,7 +283,7 @@
 				}
 			}
 			far.removeAll(near);
-			pool.sender().owners(List.copyOf(near), List.copyOf(far));
+			pool.owners(List.copyOf(near), List.copyOf(far));
 		}
 	}
 
--- a/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
+++ b/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
@@ -127,6 +127,11 @@
 	 */
 	private final Lifecycle lifecycle;
 
+	/**
+	 * Gathers evidence.
+	 */
+	private final Recorder recorder;
+
 	/**
 	 * The requests that have no final answer yet.
 	 */
@@ -140,7 +145,7 @@
 	/**
 	 * The exchanges under way.
 	 */
-	private final Map<RequestId, Effect.Send> exchanges = new HashMap<>();
+	private final Map<RequestId, Exchange> exchanges = new HashMap<>();
 
 	/**
 	 * The upstreams whose latest report says that they leave.
@@ -148,7 +153,8 @@
 	private final Set<UpstreamId> leaving = new HashSet<>();
 
 	/**
-	 * The incarnation that each upstream reported last.
+	 * The incarnation that each upstream is known to have, from its reports and from
+	 * grants.
 	 */
 	private final Map<UpstreamId, Long> upstreamIncarnations = new HashMap<>();
 
@@ -198,6 +204,7 @@
 				appends::incrementAndGet);
 		this.peers = new Peers(self.vm(), settings.peerTimes(), settings.audience());
 		this.lifecycle = new Lifecycle(settings.noticeMillis());
+		this.recorder = new Recorder(settings.evidenceMillis(), self);
 	}
 
 	/**
@@ -286,6 +293,7 @@
 		boolean paused = this.lastTick != Long.MIN_VALUE && now - this.lastTick > this.settings.pauseMillis();
 		this.lastTick = now;
 		this.epochMillis = tick.epochMillis();
+		this.recorder.advance(this.epochMillis);
 		if (paused) {
 			resumed(now);
 		}
@@ -297,7 +305,14 @@
 		this.suspects.tick(now, this.outbox);
 		this.control.tick(now, tick.epochMillis(), this.outbox);
 		this.lifecycle.judge(obstacle(), this.outbox);
-		this.lifecycle.tick(now, idle(), this.outbox);
+		if (this.topology != null) {
+			this.recorder.tick(this.topology, this.dispatch, this.outbox);
+		}
+		boolean idle = idle();
+		if (idle && this.lifecycle.closed(now)) {
+			this.recorder.close(this.outbox);
+		}
+		this.lifecycle.tick(now, idle, this.outbox);
 	}
 
 	private void resumed(long now) {
@@ -357,7 +372,8 @@
 		if (request.deadline() <= now) {
 			return Optional.of(RefusalReason.DEADLINE);
 		}
-		if (this.suspects.suspected(now, request.fingerprint())) {
+		if (this.suspects.suspected(now, request.fingerprint())
+				|| this.suspects.awaitsJudgement(request.fingerprint())) {
 			return Optional.of(RefusalReason.SUSPECTED);
 		}
 		return this.admission.check(request, this.topology.configuration());
@@ -394,13 +410,16 @@
 	}
 
 	private void exchangeEnded(Event.ExchangeEnded event) {
-		Effect.Send exchange = this.exchanges.remove(event.request());
+		Exchange exchange = this.exchanges.remove(event.request());
 		Request request = this.requests.get(event.request());
 		if (exchange != null && request != null) {
+			this.recorder.ended(this.topology, request, event);
 			judge(event, exchange, request);
 		}
+		boolean unrepeatable = event.answering()
+				|| request != null && this.suspects.awaitsJudgement(request.fingerprint());
 		Completion completion = this.dispatch.ended(event.at(), event.request(), event.ending(), event.cost(),
-				event.answering(), this.outbox);
+				unrepeatable, this.outbox);
 		if (completion == Completion.REQUEUED) {
 			this.claims.notRun(event.at(), event.request());
 			return;
@@ -412,18 +431,17 @@
 		this.requests.remove(event.request());
 	}
 
-	private void judge(Event.ExchangeEnded event, Effect.Send exchange, Request request) {
+	private void judge(Event.ExchangeEnded event, Exchange exchange, Request request) {
 		if (event.ending() == Ending.COMPLETED) {
 			this.suspects.completed(event.at(), request.fingerprint());
 		}
 		else if (event.ending() == Ending.BROKEN) {
-			long incarnation = this.upstreamIncarnations.getOrDefault(exchange.upstream(), 0L);
 			long together = 1 + this.exchanges.values()
 				.stream()
 				.filter((other) -> other.upstream().equals(exchange.upstream()))
 				.count();
-			this.suspects.crashed(event.at(), request.fingerprint(), exchange.upstream(), incarnation, (int) together,
-					this.outbox);
+			this.suspects.crashed(event.at(), request.fingerprint(), exchange.upstream(), exchange.incarnation(),
+					(int) together, this.outbox);
 			this.outbox.add(new Effect.Note(LogEvent.EXCHANGE_BROKEN, event.request().value()));
 		}
 	}
@@ -482,6 +500,9 @@
 			this.claims.received(event.at(), event.from(), message, this.outbox);
 		}
 		else {
+			if (message instanceof PeerMessage.Grant grant) {
+				this.upstreamIncarnations.put(grant.upstream(), grant.upstreamIncarnation());
+			}
 			this.dispatch.received(event.at(), event.from(), message, this.outbox);
 		}
 	}
@@ -534,6 +555,7 @@
 		ControlState state = this.control.current().orElseThrow();
 		Configuration configuration = this.control.configuration().orElseThrow();
 		this.outbox.add(new Effect.Configure(state, configuration));
+		this.recorder.inForce(state);
 		rebuild(now);
 	}
 
@@ -604,7 +626,9 @@
 	}
 
 	private void sending(long now, Effect.Send send) {
-		this.exchanges.put(send.request(), send);
+		long incarnation = this.upstreamIncarnations.getOrDefault(send.upstream(), 0L);
+		this.exchanges.put(send.request(), new Exchange(send.upstream(), incarnation));
+		this.recorder.sent(this.topology, send);
 		Request request = this.requests.get(send.request());
 		if (request != null && request.key().isPresent()) {
 			this.claims.sending(now, send.request());
@@ -613,6 +637,9 @@
 
 	private void refused(long now, Effect.Refuse refuse) {
 		Request request = this.requests.remove(refuse.request());
+		if (request != null) {
+			this.recorder.refused(request, refuse.refusal(), refuse.refusal().outcome() != Outcome.NOT_RUN);
+		}
 		if (request == null || request.key().isEmpty() || !this.dispatched.remove(refuse.request())) {
 			return;
 		}
@@ -620,6 +647,17 @@
 		this.claims.ended(now, refuse.request(), ending, Optional.empty(), this.outbox);
 	}
 
+	/**
+	 * An exchange under way.
+	 *
+	 * @param upstream the upstream
+	 * @param incarnation the incarnation of the upstream when the request was sent, 0 if
+	 * it is not known
+	 */
+	private record Exchange(UpstreamId upstream, long incarnation) {
+
+	}
+
 	/**
 	 * Passes requests whose claims hold on to dispatch.
 	 */
--- a/ebonyford/src/test/java/org/ebonyford/dispatch/FakeFleet.java
+++ b/ebonyford/src/test/java/org/ebonyford/dispatch/FakeFleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
@@ -16,6 +17,7 @@
 import java.util.TreeSet;
 import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
+import java.util.function.IntFunction;
 import java.util.function.LongConsumer;
 
 import org.ebonyford.configuration.Configuration;
@@ -40,6 +42,7 @@
 import org.ebonyford.request.Ending;
 import org.ebonyford.request.Request;
 import org.ebonyford.topology.Topology;
+import org.ebonyford.warmup.WarmUp;
 
 /**
  * Delivers events, messages and exchanges with delays between several {@link Dispatch}
@@ -53,6 +56,9 @@
 
 	private static final long DETECTION_MILLIS = 500;
 
+	/** The samples of 10 ms in 10 s. */
+	private static final int WINDOW_SAMPLES = 1_000;
+
 	final List<Router> routers = new ArrayList<>();
 
 	final List<Engine> engines = new ArrayList<>();
@@ -78,12 +84,21 @@
 	/** The largest number of requests above what an engine bore. */
 	int excess;
 
+	/** The data centres that routers and engines take turns in. */
+	int centres = 1;
+
+	/** Whether all requests come in the name of one organisation. */
+	boolean anonymous;
+
 	/** Whether an engine goes on with a request whose router is gone. */
 	boolean lingering;
 
 	private final Random random;
 
-	private final DispatchSettings settings;
+	/** How the engines warm up in truth. */
+	private final WarmUp truth = new WarmUp.ForCompletions(DispatchSettings.DEFAULT_COMPLETIONS_PER_STEP);
+
+	private final IntFunction<DispatchSettings> settings;
 
 	private final Pool pool;
 
@@ -98,11 +113,13 @@
 
 	private Set<VmId> listed = new TreeSet<>();
 
+	private Set<UpstreamId> closed = Set.of();
+
 	private long revision;
 
 	private long sequence;
 
-	FakeFleet(long seed, DispatchSettings settings, Pool pool, int routers, int engines) {
+	FakeFleet(long seed, IntFunction<DispatchSettings> settings, Pool pool, int routers, int engines) {
 		this.random = new Random(seed);
 		this.settings = settings;
 		this.pool = pool;
@@ -119,6 +136,10 @@
 		return new VmId("vm-" + index);
 	}
 
+	private DataCentreId centre(VmId vm) {
+		return CENTRES[Integer.parseInt(vm.value().substring("vm-".length())) % this.centres];
+	}
+
 	static OrganisationId organisation(String name) {
 		return new OrganisationId(name);
 	}
@@ -167,7 +188,8 @@
 		RequestId id = new RequestId("r" + this.requests++);
 		Work job = new Work(organisation(organisation), cost, entry, entry.generation);
 		this.work.put(id, job);
-		entry.event((dispatch, outbox) -> dispatch.enqueue(entry.clock(), new Request(id, job.organisation, POOL,
+		OrganisationId caller = this.anonymous ? organisation("all") : job.organisation;
+		entry.event((dispatch, outbox) -> dispatch.enqueue(entry.clock(), new Request(id, caller, POOL,
 				new RequestClass("chat"), hint, entry.clock() + 600_000, Optional.empty(), new Fingerprint("f")),
 				outbox));
 	}
@@ -191,6 +213,12 @@
 		healed.forEach((pair) -> greet(this.routers.get(pair.get(0)), this.routers.get(pair.get(1))));
 	}
 
+	/** Takes engines out of service, which the routers see after a lag. */
+	void close(Set<UpstreamId> engines) {
+		this.closed = engines;
+		this.routers.forEach(Router::readList);
+	}
+
 	/** Changes the platform's list, which the routers see after a lag. */
 	void list(Set<Integer> vms) {
 		this.listed = new TreeSet<>();
@@ -199,6 +227,49 @@
 		this.routers.forEach(Router::readList);
 	}
 
+	/** Returns the share of all slots that are in use while time goes on. */
+	double utilisation(long millis) {
+		long[] used = new long[2];
+		int slots = this.engines.size() * this.pool.warmLimit();
+		run(millis, (at) -> {
+			used[0] += running();
+			used[1] += slots;
+		});
+		return (double) used[0] / used[1];
+	}
+
+	/** Returns the largest gap of virtual service over any 10 s while time goes on. */
+	long gap(long millis, String... organisations) {
+		List<long[]> history = new ArrayList<>();
+		run(millis, (at) -> history.add(Arrays.stream(organisations).mapToLong(this::virtual).toArray()));
+		long gap = 0;
+		for (int from = 0; from < history.size(); from++) {
+			int last = Math.min(from + WINDOW_SAMPLES, history.size() - 1);
+			for (int to = from + 1; to <= last; to++) {
+				gap = Math.max(gap, spread(history.get(from), history.get(to)));
+			}
+		}
+		return gap;
+	}
+
+	private static long spread(long[] from, long[] to) {
+		long least = Long.MAX_VALUE;
+		long most = Long.MIN_VALUE;
+		for (int index = 0; index < from.length; index++) {
+			least = Math.min(least, to[index] - from[index]);
+			most = Math.max(most, to[index] - from[index]);
+		}
+		return most - least;
+	}
+
+	/** Returns the slots that nobody can use at present. */
+	int blocked() {
+		return this.routers.stream()
+			.filter((router) -> router.alive)
+			.mapToInt((router) -> this.engines.stream().mapToInt((engine) -> router.dispatch.blocked(engine.id)).sum())
+			.sum();
+	}
+
 	int running() {
 		return this.engines.stream().mapToInt((engine) -> engine.running.size()).sum();
 	}
@@ -262,7 +333,7 @@
 		});
 		Map<UpstreamId, Upstream> upstreams = new HashMap<>();
 		for (Engine engine : this.engines) {
-			upstreams.put(engine.id, new Upstream(engine.id, POOL, engine.centre, "address"));
+			upstreams.put(engine.id, new Upstream(engine.id, POOL, CENTRES[engine.centre()], "address"));
 		}
 		return new Configuration(plans, organisations, Map.of(POOL, this.pool), upstreams, List.of());
 	}
@@ -320,7 +391,7 @@
 			this.offset = FakeFleet.this.random.nextInt(1_000_000);
 			this.frozen.clear();
 			this.freezing = false;
-			this.dispatch = new Dispatch(FakeFleet.this.settings, self());
+			this.dispatch = new Dispatch(FakeFleet.this.settings.apply(this.index), self());
 			readList();
 			tick(this.generation);
 			beat(this.generation);
@@ -334,7 +405,7 @@
 
 		void kill() {
 			this.alive = false;
-			this.dispatch = new Dispatch(FakeFleet.this.settings, self());
+			this.dispatch = new Dispatch(FakeFleet.this.settings.apply(this.index), self());
 			if (!FakeFleet.this.lingering) {
 				FakeFleet.this.engines.forEach((engine) -> engine.disconnect(this));
 			}
@@ -384,9 +455,9 @@
 
 		private Topology topology(Set<VmId> list, long version) {
 			Map<DataCentreId, java.util.SortedSet<VmId>> owners = new HashMap<>();
-			list.forEach((vm) -> owners.computeIfAbsent(CENTRES[0], (absent) -> new TreeSet<>()).add(vm));
-			return new Topology(vm(this.index), CENTRES[0], version, owners, new TreeSet<>(list), configuration(),
-					Set.of());
+			list.forEach((vm) -> owners.computeIfAbsent(centre(vm), (absent) -> new TreeSet<>()).add(vm));
+			return new Topology(vm(this.index), CENTRES[this.index % FakeFleet.this.centres], version, owners,
+					new TreeSet<>(list), configuration(), FakeFleet.this.closed);
 		}
 
 		private void tick(int current) {
@@ -462,16 +533,21 @@
 
 		long completed;
 
-		private final DataCentreId centre = CENTRES[0];
+		private final int index;
 
 		private long incarnation = 1;
 
 		private boolean down;
 
 		private Engine(int index) {
+			this.index = index;
 			this.id = new UpstreamId("e" + index);
 		}
 
+		int centre() {
+			return this.index % FakeFleet.this.centres;
+		}
+
 		/** Restarts the engine, which refuses connections for a while. */
 		void restart(long millis) {
 			Map<RequestId, Router> broken = new HashMap<>(this.running);
@@ -486,7 +562,7 @@
 		}
 
 		int bears() {
-			return FakeFleet.this.settings.warmUp().limit(FakeFleet.this.pool, this.completed);
+			return FakeFleet.this.truth.limit(FakeFleet.this.pool, this.completed);
 		}
 
 		private void run(RequestId request, Router router) {
