Slots: give a slot a class of its own

Change: Slot keeps its state and the steps between states; SlotTable keeps the counts; an accessor without a caller is gone. Ruled out: a record for each state, which allocates at every grant.

--- a/ebonyford/src/main/java/org/ebonyford/slot/SlotTable.java
+++ b/ebonyford/src/main/java/org/ebonyford/slot/SlotTable.java
@@ -1,5 +1,6 @@
 package org.ebonyford.slot;
 
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.Map;
@@ -90,13 +91,10 @@
 	 */
 	public void take(int index, long availableAt, long revision) {
 		if (index >= this.slots.length) {
-			this.slots = java.util.Arrays.copyOf(this.slots, index + 1);
+			this.slots = Arrays.copyOf(this.slots, index + 1);
 		}
-		Slot slot = new Slot();
-		slot.awaitedUntil = availableAt;
-		slot.awaitedRevision = revision;
-		slot.state = State.AWAITED;
-		this.slots[index] = slot;
+		this.slots[index] = new Slot();
+		this.slots[index].await(availableAt, revision);
 		this.owned++;
 	}
 
@@ -109,8 +107,8 @@
 	 */
 	public void followed(long revision, long availableAt) {
 		for (Slot slot : this.slots) {
-			if (slot != null && slot.state == State.AWAITED && slot.awaitedRevision <= revision) {
-				slot.awaitedUntil = Math.min(slot.awaitedUntil, availableAt);
+			if (slot != null) {
+				slot.followed(revision, availableAt);
 			}
 		}
 	}
@@ -121,11 +119,8 @@
 	 * @return the request that occupies it, or empty if none is known
 	 */
 	public Optional<Occupant> letGo(int index) {
-		Slot slot = this.slots[index];
-		Optional<Occupant> occupant = Optional.ofNullable(slot.occupant);
-		if (slot.occupant != null) {
-			this.occupied--;
-		}
+		Optional<Occupant> occupant = this.slots[index].occupant();
+		occupant.ifPresent((request) -> this.occupied--);
 		this.slots[index] = null;
 		this.owned--;
 		this.free.clear(index);
@@ -168,9 +163,7 @@
 	 * @param occupant the request
 	 */
 	public void occupy(int index, Occupant occupant) {
-		Slot slot = this.slots[index];
-		slot.occupant = occupant;
-		slot.state = State.OCCUPIED;
+		this.slots[index].occupy(occupant);
 		this.free.clear(index);
 		this.occupied++;
 		this.peak = Math.max(this.peak, occupied());
@@ -182,7 +175,7 @@
 	 * @param grant the request's grant
 	 */
 	public void vacate(int index, GrantId grant) {
-		clear(index, grant).ifPresent((slot) -> free(index, slot));
+		clear(index, grant).ifPresent((slot) -> free(index));
 	}
 
 	/**
@@ -193,7 +186,7 @@
 	 * @param until the clock reading in milliseconds at which it certainly runs no more
 	 */
 	public void hold(int index, GrantId grant, long now, long until) {
-		clear(index, grant).ifPresent((slot) -> hold(slot, now, until));
+		clear(index, grant).ifPresent((slot) -> slot.hold(now, until));
 	}
 
 	/**
@@ -208,11 +201,11 @@
 			return;
 		}
 		Slot slot = this.slots[index];
-		if (slot.occupant == null) {
-			adopt(index, slot, occupant);
+		if (!slot.occupied()) {
+			occupy(index, occupant);
 		}
-		else if (slot.occupant.grant().equals(occupant.grant())) {
-			slot.occupant.seen(occupant.entry(), now);
+		else if (slot.occupiedBy(occupant.grant())) {
+			slot.occupant().ifPresent((request) -> request.seen(occupant.entry(), now));
 		}
 		else {
 			this.strays.put(occupant.grant(), occupant);
@@ -227,7 +220,7 @@
 	 */
 	public void lost(VmId entry, long now) {
 		for (Slot slot : this.slots) {
-			if (slot != null && slot.occupant != null && slot.occupant.entry().equals(entry)) {
+			if (slot != null && slot.occupiedBy(entry)) {
 				silence(slot, now);
 			}
 		}
@@ -239,8 +232,8 @@
 	 */
 	public void confirm(long now) {
 		for (Slot slot : this.slots) {
-			if (slot != null && slot.occupant != null) {
-				slot.occupant.seen(slot.occupant.entry(), now);
+			if (slot != null) {
+				slot.occupant().ifPresent((request) -> request.seen(request.entry(), now));
 			}
 		}
 	}
@@ -253,9 +246,7 @@
 		this.free.clear();
 		for (Slot slot : this.slots) {
 			if (slot != null) {
-				slot.state = State.AWAITED;
-				slot.awaitedUntil = availableAt;
-				slot.awaitedRevision = Long.MAX_VALUE;
+				slot.await(availableAt, Long.MAX_VALUE);
 			}
 		}
 	}
@@ -301,7 +292,7 @@
 	public OptionalInt find(GrantId grant) {
 		for (int index = 0; index < this.slots.length; index++) {
 			Slot slot = this.slots[index];
-			if (slot != null && slot.occupant != null && slot.occupant.grant().equals(grant)) {
+			if (slot != null && slot.occupiedBy(grant)) {
 				return OptionalInt.of(index);
 			}
 		}
@@ -316,20 +307,6 @@
 		return this.occupied + this.strays.size();
 	}
 
-	/**
-	 * Returns the requests that are known in own slots.
-	 * @return the indices of the slots and the requests
-	 */
-	public Map<Integer, Occupant> occupants() {
-		Map<Integer, Occupant> occupants = new HashMap<>();
-		for (int index = 0; index < this.slots.length; index++) {
-			if (this.slots[index] != null && this.slots[index].occupant != null) {
-				occupants.put(index, this.slots[index].occupant);
-			}
-		}
-		return occupants;
-	}
-
 	/**
 	 * Returns how many own slots are held or awaited.
 	 * @return the slots
@@ -337,7 +314,7 @@
 	public int blocked() {
 		int blocked = 0;
 		for (Slot slot : this.slots) {
-			if (slot != null && (slot.state == State.HELD || slot.state == State.AWAITED)) {
+			if (slot != null && slot.blocked()) {
 				blocked++;
 			}
 		}
@@ -345,64 +322,34 @@
 	}
 
 	private void tick(int index, Slot slot, long now, long silenceMillis, long orphanMillis) {
-		if (slot.state == State.AWAITED && now >= slot.awaitedUntil) {
-			if (slot.occupant != null) {
-				slot.state = State.OCCUPIED;
-			}
-			else {
-				hold(slot, slot.awaitedUntil, Long.MAX_VALUE);
-			}
-		}
-		if (slot.state == State.OCCUPIED && slot.occupant.silent(now, silenceMillis)) {
+		slot.arrive(now);
+		if (slot.silent(now, silenceMillis)) {
 			silence(slot, now);
 		}
-		if (slot.state == State.HELD && (now >= slot.heldUntil || now >= slot.heldSince + orphanMillis)) {
-			free(index, slot);
-		}
-	}
-
-	private void adopt(int index, Slot slot, Occupant occupant) {
-		slot.occupant = occupant;
-		this.free.clear(index);
-		this.occupied++;
-		this.peak = Math.max(this.peak, occupied());
-		if (slot.state != State.AWAITED) {
-			slot.state = State.OCCUPIED;
+		if (slot.overdue(now, orphanMillis)) {
+			free(index);
 		}
 	}
 
 	private Optional<Slot> clear(int index, GrantId grant) {
 		this.strays.remove(grant);
-		if (!owns(index) || this.slots[index].occupant == null) {
-			return Optional.empty();
-		}
-		Slot slot = this.slots[index];
-		if (!slot.occupant.grant().equals(grant)) {
+		if (!owns(index) || !this.slots[index].occupiedBy(grant)) {
 			return Optional.empty();
 		}
-		slot.occupant = null;
+		this.slots[index].leave();
 		this.occupied--;
-		return Optional.of(slot);
+		return Optional.of(this.slots[index]);
 	}
 
 	private void silence(Slot slot, long now) {
-		long since = Math.max(now, slot.occupant.expiresAt());
-		slot.occupant = null;
+		long since = Math.max(now, slot.occupant().map(Occupant::expiresAt).orElse(now));
+		slot.leave();
 		this.occupied--;
-		hold(slot, since, Long.MAX_VALUE);
+		slot.hold(since, Long.MAX_VALUE);
 	}
 
-	private void hold(Slot slot, long since, long until) {
-		if (slot.state != State.AWAITED || since >= slot.awaitedUntil) {
-			slot.state = State.HELD;
-			slot.heldSince = since;
-			slot.heldUntil = until;
-		}
-	}
-
-	private void free(int index, Slot slot) {
-		if (slot.state != State.AWAITED) {
-			slot.state = State.FREE;
+	private void free(int index) {
+		if (this.slots[index].free()) {
 			this.free.set(index);
 		}
 	}
@@ -416,7 +363,7 @@
 	private int certain(long from, long until) {
 		int certain = 0;
 		for (Slot slot : this.slots) {
-			if (slot != null && slot.occupant != null && slot.occupant.ran(from, until)) {
+			if (slot != null && slot.ran(from, until)) {
 				certain++;
 			}
 		}
@@ -433,11 +380,11 @@
 		int kept = 0;
 		for (int index = 0; index < this.slots.length; index++) {
 			Slot slot = this.slots[index];
-			if (slot == null || slot.state != State.HELD) {
+			if (slot == null || !slot.held()) {
 				continue;
 			}
-			if (kept >= unexplained && sampledAt - SETTLE_MILLIS > slot.heldSince) {
-				free(index, slot);
+			if (kept >= unexplained && slot.heldBefore(sampledAt - SETTLE_MILLIS)) {
+				free(index);
 			}
 			else {
 				kept++;
@@ -445,62 +392,4 @@
 		}
 	}
 
-	/**
-	 * What is known of a slot.
-	 */
-	private enum State {
-
-		/** Nothing runs in the slot. */
-		FREE,
-
-		/** A request that its entry router confirms runs in the slot. */
-		OCCUPIED,
-
-		/** The slot's former owner may still grant it. */
-		AWAITED,
-
-		/** A request that nobody confirms may run in the slot. */
-		HELD
-
-	}
-
-	/**
-	 * One own slot.
-	 */
-	private static final class Slot {
-
-		/**
-		 * What is known of the slot.
-		 */
-		private State state;
-
-		/**
-		 * The request in the slot, or {@code null} if none is known.
-		 */
-		private Occupant occupant;
-
-		/**
-		 * The clock reading in milliseconds from which no other router can grant the
-		 * slot.
-		 */
-		private long awaitedUntil;
-
-		/**
-		 * The revision of the VM list that moved the slot, or the largest number if none
-		 * did.
-		 */
-		private long awaitedRevision;
-
-		/**
-		 * The clock reading in milliseconds since which the slot is held.
-		 */
-		private long heldSince;
-
-		/**
-		 * The clock reading in milliseconds at which the slot is let free at the latest.
-		 */
-		private long heldUntil;
-
-	}
-
 }
