--- a/ebonyford-router/src/main/java/org/ebonyford/router/platform/JsonReader.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/platform/JsonReader.java
@@ -2,16 +2,21 @@
 
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import org.apache.hc.client5.http.async.methods.SimpleHttpRequest;
 import org.apache.hc.client5.http.async.methods.SimpleHttpResponse;
 import org.apache.hc.client5.http.async.methods.SimpleRequestBuilder;
+import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
+import org.apache.hc.client5.http.impl.async.HttpAsyncClients;
+import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManagerBuilder;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.Timeout;
 
 /**
@@ -19,6 +24,16 @@
  */
 public final class JsonReader {
 
+	/**
+	 * The connections to one address.
+	 */
+	private static final int MAX_CONNECTIONS_EACH = 2;
+
+	/**
+	 * The connections to all addresses.
+	 */
+	private static final int MAX_CONNECTIONS = 4_096;
+
 	/**
 	 * The client that carries the calls.
 	 */
@@ -29,6 +44,29 @@
 	 */
 	private final ObjectMapper mapper;
 
+	/**
+	 * Creates a client for readers, which gives each address its own few connections.
+	 * @param connectMillis the milliseconds within which a connection must be made
+	 * @return the started client
+	 */
+	public static CloseableHttpAsyncClient client(long connectMillis) {
+		ConnectionConfig connections = ConnectionConfig.custom()
+			.setConnectTimeout(Timeout.ofMilliseconds(connectMillis))
+			.build();
+		CloseableHttpAsyncClient client = HttpAsyncClients.custom()
+			.setConnectionManager(PoolingAsyncClientConnectionManagerBuilder.create()
+				.setDefaultConnectionConfig(connections)
+				.setMaxConnPerRoute(MAX_CONNECTIONS_EACH)
+				.setMaxConnTotal(MAX_CONNECTIONS)
+				.build())
+			.setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(1).build())
+			.disableAutomaticRetries()
+			.disableCookieManagement()
+			.build();
+		client.start();
+		return client;
+	}
+
 	/**
 	 * Creates a reader.
 	 * @param client the client that carries the calls
@@ -54,9 +92,15 @@
 			.setConnectionRequestTimeout(Timeout.ofMilliseconds(timeoutMillis))
 			.build());
 		CompletableFuture<SimpleHttpResponse> answer = new CompletableFuture<>();
-		this.client.execute(request, new Completion(answer));
-		return answer.orTimeout(2 * timeoutMillis, TimeUnit.MILLISECONDS)
-			.thenCompose((response) -> parse(uri, response, type));
+		try {
+			Future<SimpleHttpResponse> call = this.client.execute(request, new Completion(answer));
+			return answer.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
+				.whenComplete((response, ex) -> call.cancel(true))
+				.thenCompose((response) -> parse(uri, response, type));
+		}
+		catch (RuntimeException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
 	}
 
 	private <T> CompletableFuture<T> parse(String uri, SimpleHttpResponse response, Class<T> type) {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/platform/VmListPoller.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/platform/VmListPoller.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 
@@ -50,6 +51,11 @@
 	 */
 	private final Clock clock;
 
+	/**
+	 * Whether a reading has not ended.
+	 */
+	private final AtomicBoolean asked = new AtomicBoolean();
+
 	/**
 	 * Creates a poller that does not read yet.
 	 * @param reader reads the list
@@ -75,7 +81,11 @@
 	}
 
 	private void poll() {
+		if (!this.asked.compareAndSet(false, true)) {
+			return;
+		}
 		this.reader.read(this.uri, Document.class, Math.max(this.intervalMillis, TimeUnit.SECONDS.toMillis(1)))
+			.whenComplete((document, ex) -> this.asked.set(false))
 			.thenAccept((document) -> this.sink.accept(new Event.VmListRead(this.clock.millis(), document.list())));
 	}
 
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/RouterModule.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/RouterModule.java
@@ -15,7 +15,6 @@
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
 import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
-import org.apache.hc.client5.http.impl.async.HttpAsyncClients;
 
 import org.ebonyford.admission.Admission;
 import org.ebonyford.configuration.Configuration;
@@ -129,12 +128,7 @@
 	@Provides
 	@Singleton
 	CloseableHttpAsyncClient platformClient() {
-		CloseableHttpAsyncClient client = HttpAsyncClients.custom()
-			.disableAutomaticRetries()
-			.disableCookieManagement()
-			.build();
-		client.start();
-		return client;
+		return JsonReader.client(this.settings.value(RouterKeys.Platform.CONNECT_TIMEOUT));
 	}
 
 	@Provides
