Date claims by the clock reading after a pause

Cause: the reducer passes the wall-clock time of its last tick with each request. Right after a pause that time is as old as the pause was long, and a key claimed then was forgotten so much too early.

Ruled out: the larger of two offsets (a wall clock that was ahead and is set right would never be followed).

Change: the offset between clock and wall clock is taken from ticks, in which both are of one moment; begin gives it only before the first tick.

--- a/ebonyford/src/main/java/org/ebonyford/claim/Claims.java
+++ b/ebonyford/src/main/java/org/ebonyford/claim/Claims.java
@@ -182,12 +182,15 @@
 	 * Takes a request that may not be repeated. It is passed to the listener once its
 	 * claim holds, or gets its final answer.
 	 * @param now the router's clock reading in milliseconds
-	 * @param epochMillis the wall-clock time in milliseconds since the epoch
+	 * @param epochMillis the wall-clock time in milliseconds since the epoch, which is
+	 * only used before the first tick, since it may be older than the clock reading
 	 * @param request the request, which has a key
 	 * @param outbox takes the effects
 	 */
 	public void begin(long now, long epochMillis, Request request, Outbox outbox) {
-		observe(now, epochMillis);
+		if (this.epochOffset.isEmpty()) {
+			observe(now, epochMillis);
+		}
 		route(now, request, outbox);
 		append(now, outbox);
 	}
--- a/ebonyford/src/test/java/org/ebonyford/claim/ClaimsTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/claim/ClaimsTest.java
@@ -128,6 +128,18 @@
 		assertRefused(fleet, repeat, RefusalReason.DEADLINE, Outcome.UNKNOWN);
 	}
 
+	@Test
+	public void testClaimIsMadeAtTheClockReadingHoweverOldTheWallClockTime() {
+		ClaimFleet fleet = ready(1);
+		ClaimFleet.Node node = fleet.nodes.get(0);
+		Request request = fleet.request("k", "f", Long.MAX_VALUE);
+		node.claims.begin(fleet.time + 5_000, fleet.time, request, node.outbox);
+		node.drain();
+		fleet.landAll(Result.APPENDED, true);
+		node.read(1);
+		assertEquals(node.claims.table().oldest().orElseThrow().statement().createdAt(), fleet.time + 5_000);
+	}
+
 	@Test
 	public void testPausedHolderOfAForgottenKeyDoesNotSend() {
 		ClaimFleet fleet = ready(2);
