Let a cut answer show in every version and size

Cause: a large answer went to the caller without its declared length, and an HTTP/1.0 caller is told the end of a long answer by the end of the connection only, so that a cut one looked whole there.

Ruled out: a reset in place of a close for HTTP/1.0, which discards what the caller has not read.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/caller/CallerServlet.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/caller/CallerServlet.java
@@ -37,6 +37,11 @@
  */
 public final class CallerServlet extends HttpServlet {
 
+	/**
+	 * The version of the protocol, in which a cut answer shows as such.
+	 */
+	private static final String HTTP_VERSION = "HTTP/1.1";
+
 	/**
 	 * The path of chat completions.
 	 */
@@ -178,6 +183,9 @@
 	}
 
 	private Entry admit(RequestId id, HttpServletRequest request) throws RejectedException {
+		if (!HTTP_VERSION.equals(request.getProtocol())) {
+			throw new RejectedException(Rejection.HTTP_VERSION, "An older version can't show that an answer was cut.");
+		}
 		List<HeaderField> headers = headers(request);
 		Configuration current = this.configuration.get()
 			.orElseThrow(() -> new RejectedException(Rejection.NOT_READY, "The router has no configuration in force."));
--- a/ebonyford-router/src/main/java/org/ebonyford/router/caller/Rejection.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/caller/Rejection.java
@@ -41,6 +41,9 @@
 	/** The router holds as many requests as it may. */
 	OVERLOADED(503, "The router holds as many requests as it may"),
 
+	/** The request came with another version than HTTP/1.1. */
+	HTTP_VERSION(505, "The router takes HTTP/1.1"),
+
 	/** The router has no configuration in force. */
 	NOT_READY(503, "The router is not ready");
 
--- a/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Exchange.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Exchange.java
@@ -168,7 +168,7 @@
 			broken();
 			return;
 		}
-		Relay.Head head = head(response);
+		Relay.Head head = relayed(response, details);
 		int buffer = this.exchanges.connections().bufferBytes();
 		this.relay = engineEvents ? new Relay.OfEvents(this.pending, head, this.flow, buffer)
 				: new Relay.OfBytes(this.pending, head, this.flow, events ? 0 : buffer);
@@ -299,7 +299,7 @@
 		return head;
 	}
 
-	private Relay.Head head(HttpResponse response) {
+	private Relay.Head relayed(HttpResponse response, EntityDetails details) {
 		List<HeaderField> all = new ArrayList<>();
 		for (Header header : response.getHeaders()) {
 			all.add(new HeaderField(header.getName(), header.getValue()));
@@ -307,7 +307,9 @@
 		List<HeaderField> headers = new ArrayList<>(EndToEndHeaders.OF_ANSWER.select(all));
 		headers.add(new HeaderField(REQUEST_ID, this.send.request().value()));
 		headers.add(new HeaderField("X-Outcome", Outcome.RAN.label()));
-		return new Relay.Head(response.getCode(), value(response, "Content-Type"), headers);
+		boolean declared = details != null && details.getContentLength() >= 0;
+		OptionalLong length = declared ? OptionalLong.of(details.getContentLength()) : OptionalLong.empty();
+		return new Relay.Head(response.getCode(), value(response, "Content-Type"), headers, length);
 	}
 
 	private static String value(HttpResponse response, String name) {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Relay.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Relay.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -61,8 +62,19 @@
 	 * @param status the HTTP status code
 	 * @param contentType the media type of the body
 	 * @param headers the headers for the caller
+	 * @param length the declared bytes of the body, or empty if none are declared
 	 */
-	record Head(int status, String contentType, List<HeaderField> headers) {
+	record Head(int status, String contentType, List<HeaderField> headers, OptionalLong length) {
+
+		/**
+		 * Returns the headers of an answer that is passed on while it comes.
+		 * @return the headers with the declared length, so that a cut shows
+		 */
+		private List<HeaderField> declaring() {
+			List<HeaderField> all = new ArrayList<>(this.headers);
+			this.length.ifPresent((bytes) -> all.add(new HeaderField("Content-Length", Long.toString(bytes))));
+			return all;
+		}
 
 	}
 
@@ -239,7 +251,7 @@
 			byte[] first = this.held.toByteArray();
 			this.held = null;
 			this.pending.timing().firstByte();
-			this.pending.answer().start(this.head.status(), this.head.headers(), this.flow::drained);
+			this.pending.answer().start(this.head.status(), this.head.declaring(), this.flow::drained);
 			if (first.length > 0) {
 				this.pending.answer().write(first);
 			}
--- a/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerServletTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerServletTest.java
@@ -148,6 +148,14 @@
 		}
 	}
 
+	@Test
+	public void testOlderProtocolIsRejected() throws Exception {
+		try (CallerServer server = server(10, 100_000, Optional.empty())) {
+			String answer = send(server, "GET /services/booking/x HTTP/1.0\r\nHost: x\r\n" + KEY + "\r\n");
+			assertTrue(answer.contains("505 ") && answer.contains("\"reason\":\"http-version\""), answer);
+		}
+	}
+
 	@Test
 	public void testNothingIsTakenWithoutConfiguration() throws Exception {
 		try (CallerServer server = new CallerServer(CallerSettings.defaults(), CallerServer.settings(0),
--- a/ebonyford-router/src/test/java/org/ebonyford/router/upstream/ExchangesTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/upstream/ExchangesTest.java
@@ -417,7 +417,11 @@
 	@Test
 	public void testLargeBodiesPassUnchanged() throws Exception {
 		String body = "0123456789abcdef".repeat(4 * 65_536);
-		run(ECHO, (upstream, server) -> assertEquals(server.call("PUT", "/services/booking/f", body).body(), body));
+		run(ECHO, (upstream, server) -> {
+			HttpResponse<String> answer = server.call("PUT", "/services/booking/f", body);
+			assertEquals(answer.body(), body);
+			assertEquals(answer.headers().firstValueAsLong("Content-Length").orElse(0), body.length());
+		});
 	}
 
 	@Test
