Bound how long the checking client waits for a whole answer

Cause: two calls through routers never got an answer, and the client waited 150 s for them, longer than a test should need to say so. Change: 30 s beyond the caller's own limit, and 90 s for a load to drain.

--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/load/CheckingClient.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/load/CheckingClient.java
@@ -33,7 +33,7 @@
 	/**
 	 * The time that a whole exchange may take beyond what the caller waits for its start.
 	 */
-	private static final long WHOLE_MILLIS = 120_000L;
+	private static final long WHOLE_MILLIS = 30_000L;
 
 	/**
 	 * The threads that judge answers.
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/load/Load.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/load/Load.java
@@ -23,7 +23,7 @@
 	/**
 	 * The seconds within which all answers have to come after the load was stopped.
 	 */
-	private static final long DRAIN_SECONDS = 180;
+	private static final long DRAIN_SECONDS = 90;
 
 	/**
 	 * The pause in milliseconds before a caller that keeps a backlog goes on after a
