Find why the 99th percentile of the latency was high

Cause: the test itself. It kept events and requests in lists that are copied at each addition, up to 19,200 entries at 2,000 additions a second, on the path of every request.

Ruled out before: the server's thread pool, reserved threads and selectors (trials, no order among them); collections (0.1 s of 10 s).

--- a/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerServer.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/caller/CallerServer.java
@@ -13,8 +13,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.Set;
-import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicLong;
@@ -85,7 +86,7 @@
 	/**
 	 * The events that happened.
 	 */
-	private final List<Event> events = new CopyOnWriteArrayList<>();
+	private final Queue<Event> events = new ConcurrentLinkedQueue<>();
 
 	/**
 	 * The metrics.
@@ -333,7 +334,7 @@
 	 * @return the events in order
 	 */
 	public List<Event> events() {
-		return this.events;
+		return List.copyOf(this.events);
 	}
 
 	/**
--- a/ebonyford-router/src/test/java/org/ebonyford/router/upstream/FakeUpstream.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/upstream/FakeUpstream.java
@@ -11,7 +11,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -38,7 +40,7 @@
 	/**
 	 * The requests that came whole.
 	 */
-	private final List<Received> requests = new CopyOnWriteArrayList<>();
+	private final Queue<Received> requests = new ConcurrentLinkedQueue<>();
 
 	/**
 	 * The connections that are open.
@@ -74,7 +76,7 @@
 	 * @return the requests in the order of their arrival
 	 */
 	public List<Received> requests() {
-		return this.requests;
+		return List.copyOf(this.requests);
 	}
 
 	/**
