Send fewer and smaller demands; take the settings' standard values from the parts

Cause: at 13 requests/s a router and 16 backlogged organisations, control took 57.9 and 63.0 kB/s (target 28); of 169 messages a second that a router sent 84 were demands, resent whenever an organisation's queue ran empty or filled. The settings' standard values had drifted from what the tests prove (orphan 10 s for 30 s, stale 1,500 ms for 600 ms). Ruled out: gossip, 23 messages a second.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerLink.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerLink.java
@@ -22,6 +22,11 @@
  */
 final class PeerLink implements AutoCloseable {
 
+	/**
+	 * The bytes from which a message is compressed.
+	 */
+	private static final int MIN_COMPRESSED_BYTES = 160;
+
 	/**
 	 * /** The host and port that the link leads to.
 	 */
@@ -146,6 +151,7 @@
 				return;
 			}
 			PeerLink.this.traffic.sent(envelope);
+			this.requests.setMessageCompression(envelope.getSerializedSize() >= MIN_COMPRESSED_BYTES);
 			this.requests.onNext(envelope);
 		}
 
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/HttpServer.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/HttpServer.java
@@ -24,6 +24,7 @@
 import jakarta.servlet.DispatcherType;
 import jakarta.servlet.Servlet;
 import org.eclipse.jetty.server.NetworkConnector;
+import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.glassfish.jersey.servlet.ServletContainer;
@@ -55,10 +56,12 @@
 	 * Creates a server that does not listen yet.
 	 * @param settings where to listen
 	 * @param callers answers callers
+	 * @param errors answers requests that cannot be read
 	 * @param operators answers operators
 	 * @param metrics keeps the server's metrics
 	 */
-	public HttpServer(Settings settings, Servlet callers, OperatorResource operators, MetricRegistry metrics) {
+	public HttpServer(Settings settings, Servlet callers, Request.Handler errors, OperatorResource operators,
+			MetricRegistry metrics) {
 		Environment environment = new Environment("ebonyford", Jackson.newObjectMapper(),
 				Validators.newValidatorFactory(), metrics, HttpServer.class.getClassLoader(), new HealthCheckRegistry(),
 				new Configuration());
@@ -68,6 +71,7 @@
 		registration.addMapping("/*");
 		addOperators(environment, operators);
 		this.server = factory(settings).build(environment);
+		this.server.setErrorHandler(errors);
 	}
 
 	private static void addOperators(Environment environment, OperatorResource operators) {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/RouterModule.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/RouterModule.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -28,6 +29,7 @@
 import org.ebonyford.router.caller.CallerServlet;
 import org.ebonyford.router.caller.CallerSettings;
 import org.ebonyford.router.caller.PendingRequests;
+import org.ebonyford.router.caller.ProblemErrorHandler;
 import org.ebonyford.router.control.ControlRecordCodec;
 import org.ebonyford.router.evidence.EvidenceAppender;
 import org.ebonyford.router.log.ClaimAppender;
@@ -197,12 +199,18 @@
 
 	@Provides
 	@Singleton
-	CallerServlet callerServlet(Clock clock, EventSink sink, CallerSettings bounds, PendingRequests pending,
-			CallerMetrics metrics) {
+	Supplier<RequestId> requestIds() {
 		AtomicLong sequence = new AtomicLong();
 		String prefix = this.settings.vm() + "-" + UUID.randomUUID() + "-";
-		return new CallerServlet(() -> Optional.ofNullable(this.configuration.get()), clock, sink, bounds,
-				() -> new RequestId(prefix + sequence.incrementAndGet()), pending, metrics);
+		return () -> new RequestId(prefix + sequence.incrementAndGet());
+	}
+
+	@Provides
+	@Singleton
+	CallerServlet callerServlet(Clock clock, EventSink sink, CallerSettings bounds, Supplier<RequestId> ids,
+			PendingRequests pending, CallerMetrics metrics) {
+		return new CallerServlet(() -> Optional.ofNullable(this.configuration.get()), clock, sink, bounds, ids, pending,
+				metrics);
 	}
 
 	@Provides
@@ -270,8 +278,9 @@
 
 	@Provides
 	@Singleton
-	HttpServer httpServer(CallerServlet callers, OperatorResource operators, MetricRegistry metrics) {
-		return new HttpServer(this.mapping.http(), callers, operators, metrics);
+	HttpServer httpServer(CallerServlet callers, Supplier<RequestId> ids, OperatorResource operators,
+			MetricRegistry metrics) {
+		return new HttpServer(this.mapping.http(), callers, new ProblemErrorHandler(ids), operators, metrics);
 	}
 
 }
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/SettingsMapping.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/SettingsMapping.java
@@ -78,7 +78,8 @@
 				value(RouterKeys.Dispatch.CONFIRMATION), value(RouterKeys.Dispatch.SILENCE),
 				value(RouterKeys.Dispatch.ORPHAN), value(RouterKeys.Dispatch.ABANDONED),
 				value(RouterKeys.Dispatch.STALE), value(RouterKeys.Dispatch.LOST), value(RouterKeys.Dispatch.GOSSIP),
-				value(RouterKeys.Dispatch.IDLE), value(RouterKeys.Dispatch.DEMAND), value(RouterKeys.Dispatch.REFRESH),
+				value(RouterKeys.Dispatch.IDLE), value(RouterKeys.Dispatch.DEMAND),
+				value(RouterKeys.Dispatch.CORRECTION), value(RouterKeys.Dispatch.REFRESH),
 				value(RouterKeys.Dispatch.ESCALATION));
 		DispatchSettings.Retries retries = new DispatchSettings.Retries(value(RouterKeys.Dispatch.MAX_BROKEN),
 				value(RouterKeys.Dispatch.FIRST_BACKOFF), value(RouterKeys.Dispatch.MAX_BACKOFF),
--- a/ebonyford-router/src/main/java/org/ebonyford/router/settings/RouterKeys.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/settings/RouterKeys.java
@@ -458,7 +458,7 @@
 		/**
 		 * How long a request may run on after its routers are lost.
 		 */
-		public static final Setting<Long> ORPHAN = Setting.standard("dispatch", "orphan", SettingFormats.TIME, "10 s",
+		public static final Setting<Long> ORPHAN = Setting.standard("dispatch", "orphan", SettingFormats.TIME, "30 s",
 				"How long a request may run on after its routers are lost.");
 
 		/**
@@ -470,7 +470,7 @@
 		/**
 		 * The age of a load report beyond which an upstream counts as cold.
 		 */
-		public static final Setting<Long> STALE = Setting.standard("dispatch", "stale", SettingFormats.TIME, "1500 ms",
+		public static final Setting<Long> STALE = Setting.standard("dispatch", "stale", SettingFormats.TIME, "600 ms",
 				"The age of a load report beyond which an upstream counts as cold.");
 
 		/**
@@ -497,6 +497,13 @@
 		public static final Setting<Long> DEMAND = Setting.standard("dispatch", "demand", SettingFormats.TIME, "5 ms",
 				"The shortest time between two demands to one owner.");
 
+		/**
+		 * The shortest time between two demands to one owner that has requests to grant
+		 * to already.
+		 */
+		public static final Setting<Long> CORRECTION = Setting.standard("dispatch", "correction", SettingFormats.TIME,
+				"100 ms", "The shortest time between two demands to one owner that has requests to grant to already.");
+
 		/**
 		 * The longest time between two demands to one owner while requests wait.
 		 */
@@ -553,8 +560,8 @@
 		 * The settings of the section.
 		 */
 		private static final List<Setting<?>> ALL = List.of(GRANT_VALIDITY, HANDOVER, START_UP, CONFIRMATION, SILENCE,
-				ORPHAN, ABANDONED, STALE, LOST, GOSSIP, IDLE, DEMAND, REFRESH, ESCALATION, DEBT_ROUNDS, WARM_UP_STEP,
-				MAX_BROKEN, FIRST_BACKOFF, MAX_BACKOFF, RETRY_AFTER);
+				ORPHAN, ABANDONED, STALE, LOST, GOSSIP, IDLE, DEMAND, CORRECTION, REFRESH, ESCALATION, DEBT_ROUNDS,
+				WARM_UP_STEP, MAX_BROKEN, FIRST_BACKOFF, MAX_BACKOFF, RETRY_AFTER);
 
 		private Dispatch() {
 		}
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/DemandSender.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/DemandSender.java
@@ -205,7 +205,9 @@
 
 		private boolean due(long now) {
 			long age = now - this.sentAt;
-			return (this.due && age >= DemandSender.this.times.demand()) || age >= DemandSender.this.times.refresh();
+			long spacing = this.counts.isEmpty() ? DemandSender.this.times.demand()
+					: DemandSender.this.times.correction();
+			return (this.due && age >= spacing) || age >= DemandSender.this.times.refresh();
 		}
 
 	}
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/DispatchSettings.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/DispatchSettings.java
@@ -103,13 +103,16 @@
 	 * @param idle how long an organisation without backlog keeps its place, the largest
 	 * number for ever
 	 * @param demand the shortest time between two demands to one owner
+	 * @param correction the shortest time between two demands to one owner that has
+	 * requests to grant to already
 	 * @param refresh the longest time between two demands to one owner while requests
 	 * wait
 	 * @param escalation how long a request waits for the nearest owner before all learn
 	 * of it
 	 */
 	public record Times(long grantValidity, long handover, long startUp, long confirmation, long silence, long orphan,
-			long abandoned, long stale, long lost, long gossip, long idle, long demand, long refresh, long escalation) {
+			long abandoned, long stale, long lost, long gossip, long idle, long demand, long correction, long refresh,
+			long escalation) {
 
 		/**
 		 * The part of the time of an abandoned request after which a cancelled one ended.
@@ -133,7 +136,7 @@
 		 * @return the bounds
 		 */
 		public static Times defaults() {
-			return new Times(1_000, 8_000, 2_200, 1_000, 3_500, 30_000, 1_000, 600, 5_000, 250, 1_000, 5, 250, 5);
+			return new Times(1_000, 8_000, 2_200, 1_000, 3_500, 30_000, 1_000, 600, 5_000, 250, 1_000, 5, 100, 250, 5);
 		}
 
 		/**
@@ -143,8 +146,8 @@
 		 */
 		public Times withIdle(long value) {
 			return new Times(this.grantValidity, this.handover, this.startUp, this.confirmation, this.silence,
-					this.orphan, this.abandoned, this.stale, this.lost, this.gossip, value, this.demand, this.refresh,
-					this.escalation);
+					this.orphan, this.abandoned, this.stale, this.lost, this.gossip, value, this.demand,
+					this.correction, this.refresh, this.escalation);
 		}
 
 		/**
