Stop without cutting, and be ready once the claims are read

Ruled out: the reducer's idea of idle, which counts open exchanges. Change: Jetty's hook is off; readiness waits for the claims unless the log is out of reach.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/HttpServer.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/HttpServer.java
@@ -72,6 +72,7 @@
 		addOperators(environment, operators);
 		this.server = factory(settings).build(environment);
 		this.server.setErrorHandler(errors);
+		this.server.setStopAtShutdown(false);
 	}
 
 	private static void addOperators(Environment environment, OperatorResource operators) {
--- a/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
+++ b/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
@@ -332,6 +332,9 @@
 		if (this.members.list().isEmpty()) {
 			return "no list of VMs was read";
 		}
+		if (!this.claims.complete() && !this.unreachable.contains(CLAIMS_STREAM)) {
+			return "the claims have not been read";
+		}
 		if (this.members.leaving(this.self.vm())) {
 			return "the platform takes this VM away";
 		}
--- a/ebonyford/src/test/java/org/ebonyford/reducer/ReducerTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/reducer/ReducerTest.java
@@ -93,6 +93,16 @@
 		assertTrue(this.reducer.status().ready());
 	}
 
+	@Test
+	public void testRouterIsReadyOnceClaimsAreReadOrCannotBe() {
+		configure();
+		advance(10);
+		assertFalse(this.reducer.status().ready());
+		this.reducer.apply(new Event.LogUnreachable(this.now, Reducer.CLAIMS_STREAM));
+		advance(10);
+		assertTrue(this.reducer.status().ready());
+	}
+
 	@Test
 	public void testPlanLimitsWhatIsUsed() {
 		serve();
@@ -200,13 +210,17 @@
 	}
 
 	private void serve() {
+		configure();
+		this.reducer.apply(new Event.ClaimsRead(this.now, 0, 0, 0, List.of()));
+		advance(15_000);
+	}
+
+	private void configure() {
 		ControlState state = new ControlState(0, PLANS, USES, Set.of(), Set.of(), Set.of());
 		this.reducer.apply(new Event.VmListRead(this.now,
 				new VmList(1, List.of(new VmEntry(SELF, DATA_CENTRE, "127.0.0.1:2", false)), List.of())));
 		this.reducer
 			.apply(new Event.ControlRead(this.now, 0, 1, 1, List.of(new ControlRecord(0, 0, "id", "test", -1, state))));
-		this.reducer.apply(new Event.ClaimsRead(this.now, 0, 0, 0, List.of()));
-		advance(15_000);
 	}
 
 	private List<Effect> advance(long millis) {
