Withdraw demands after a pause, and measure a move by the time of its command

Cause: when nothing waited any more, every owner was told at once, and told again when something waited; the experiment move counted work that began between the return's coming into force and the return of its command as work in a data centre that is out (10,741 ms). Ruled out: a fault of the take-out, as DataCentreOutTest judges by the same runs and found none.

--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/experiment/Move.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/experiment/Move.java
@@ -48,7 +48,8 @@
 			long begin = phase(bench);
 			long out = command(bench, "out", dataCentre);
 			phase(bench);
-			long in = command(bench, "in", dataCentre);
+			long in = System.currentTimeMillis();
+			command(bench, "in", dataCentre);
 			phase(bench);
 			long end = System.currentTimeMillis();
 			Report report = load.stop();
--- a/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerTraffic.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerTraffic.java
@@ -1,5 +1,7 @@
 package org.ebonyford.router.peer;
 
+import java.util.Locale;
+
 import com.codahale.metrics.MetricRegistry;
 
 import org.ebonyford.router.generated.Envelope;
@@ -49,8 +51,9 @@
 		String prefix = "peer." + direction + ".";
 		this.registry.counter(prefix + "messages").inc();
 		this.registry.counter(prefix + "bytes").inc(envelope.getSerializedSize());
-		this.registry.counter(prefix + "messages." + envelope.getBodyCase().name().toLowerCase(java.util.Locale.ROOT))
-			.inc();
+		String kind = envelope.getBodyCase().name().toLowerCase(Locale.ROOT);
+		this.registry.counter(prefix + "messages." + kind).inc();
+		this.registry.counter(prefix + "bytes." + kind).inc(envelope.getSerializedSize());
 	}
 
 }
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/DemandSender.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/DemandSender.java
@@ -144,7 +144,7 @@
 			}
 		}
 		for (Map.Entry<VmId, Told> entry : this.told.entrySet()) {
-			if (!targets.contains(entry.getKey()) && !entry.getValue().counts.isEmpty()) {
+			if (!targets.contains(entry.getKey()) && entry.getValue().outdated(now)) {
 				send(now, entry.getKey(), entry.getValue(), List.of(), outbox);
 			}
 		}
@@ -203,6 +203,10 @@
 			return this.counts.containsKey(organisation);
 		}
 
+		private boolean outdated(long now) {
+			return !this.counts.isEmpty() && now - this.sentAt >= DemandSender.this.times.correction();
+		}
+
 		private boolean due(long now) {
 			long age = now - this.sentAt;
 			long spacing = this.counts.isEmpty() ? DemandSender.this.times.demand()
