--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/LoadedRouter.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/LoadedRouter.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import org.ebonyford.admission.Admission;
 import org.ebonyford.claim.ClaimSettings;
@@ -141,7 +142,7 @@
 		VmId vm = new VmId("vm-1");
 		DataCentreId dataCentre = new DataCentreId("dc-1");
 		this.upstreams = upstreams;
-		this.backlogged = java.util.stream.IntStream.range(0, Math.max(2, organisations / BACKLOGGED_SHARE))
+		this.backlogged = IntStream.range(0, Math.max(2, organisations / BACKLOGGED_SHARE))
 			.mapToObj((index) -> new OrganisationId("organisation-" + index))
 			.toList();
 		this.reducer = new Reducer(settings(), new Incarnation(vm, 1), dataCentre, Admission.OfPlan.INSTANCE);
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/HttpServer.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/HttpServer.java
@@ -1,6 +1,7 @@
 package org.ebonyford.router.process;
 
 import java.security.KeyStore;
+import java.util.Arrays;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
@@ -139,7 +140,7 @@
 	}
 
 	private int port(String name) {
-		return java.util.Arrays.stream(this.server.getConnectors())
+		return Arrays.stream(this.server.getConnectors())
 			.filter((connector) -> name.equals(connector.getName()))
 			.map((connector) -> ((NetworkConnector) connector).getLocalPort())
 			.findFirst()
--- a/ebonyford/src/main/java/org/ebonyford/identity/Incarnation.java
+++ b/ebonyford/src/main/java/org/ebonyford/identity/Incarnation.java
@@ -1,5 +1,7 @@
 package org.ebonyford.identity;
 
+import java.util.Objects;
+
 /**
  * Identifies one run of a router's process on a VM.
  *
@@ -13,7 +15,7 @@
 	 * @throws NullPointerException if the VM is {@code null}
 	 */
 	public Incarnation {
-		java.util.Objects.requireNonNull(vm, "vm");
+		Objects.requireNonNull(vm, "vm");
 	}
 
 }
--- a/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
+++ b/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
@@ -152,6 +152,11 @@
 	 */
 	private final Set<UpstreamId> leaving = new HashSet<>();
 
+	/**
+	 * The upstreams that reached their warm limit.
+	 */
+	private final Set<UpstreamId> warm = new HashSet<>();
+
 	/**
 	 * The incarnation that each upstream is known to have, from its reports and from
 	 * grants.
@@ -452,10 +457,28 @@
 	private void loadReported(Event.LoadReported event) {
 		event.report().ifPresent((report) -> noteReport(event.at(), event.upstream(), report));
 		this.dispatch.reported(event.at(), event.upstream(), event.report(), this.outbox);
+		noteWarmth(event.upstream());
+	}
+
+	private void noteWarmth(UpstreamId upstream) {
+		boolean isWarm = Optional.ofNullable(this.topology)
+			.map((fleet) -> fleet.configuration().upstreams().get(upstream))
+			.map((entry) -> this.topology.configuration().pools().get(entry.pool()))
+			.filter((pool) -> this.dispatch.limit(upstream) >= pool.warmLimit())
+			.isPresent();
+		if (!isWarm) {
+			this.warm.remove(upstream);
+		}
+		else if (this.warm.add(upstream)) {
+			this.outbox.add(new Effect.Note(LogEvent.UPSTREAM_WARM, upstream.value()));
+		}
 	}
 
 	private void noteReport(long now, UpstreamId upstream, LoadReport report) {
-		this.upstreamIncarnations.put(upstream, report.incarnation());
+		Long former = this.upstreamIncarnations.put(upstream, report.incarnation());
+		if (former != null && former != report.incarnation()) {
+			this.outbox.add(new Effect.Note(LogEvent.UPSTREAM_COLD, upstream.value()));
+		}
 		this.suspects.reported(now, upstream, report.incarnation(), now - report.ageMillis());
 		boolean changed = report.leaving() ? this.leaving.add(upstream) : this.leaving.remove(upstream);
 		if (changed) {
--- a/ebonyford/src/test/java/org/ebonyford/reducer/ReducerTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/reducer/ReducerTest.java
@@ -28,6 +28,7 @@
 import org.ebonyford.identity.UpstreamId;
 import org.ebonyford.identity.VmId;
 import org.ebonyford.load.LoadReport;
+import org.ebonyford.log.LogEvent;
 import org.ebonyford.membership.VmEntry;
 import org.ebonyford.membership.VmList;
 import org.ebonyford.message.PeerMessage;
@@ -198,6 +199,16 @@
 		assertEquals(sends(arrive("r", Optional.empty())), 0);
 	}
 
+	@Test
+	public void testUpstreamIsNotedWhenItIsWarmAndWhenItStartsAnew() {
+		configure();
+		assertEquals(notes(advance(100)), List.of(new Effect.Note(LogEvent.UPSTREAM_WARM, "one")));
+		assertEquals(
+				notes(this.reducer
+					.apply(new Event.LoadReported(this.now, UPSTREAM, Optional.of(new LoadReport(2, 0, 0, 0, false))))),
+				List.of(new Effect.Note(LogEvent.UPSTREAM_COLD, "one")));
+	}
+
 	@Test
 	public void testStopWaitsForRunningRequests() {
 		serve();
@@ -275,6 +286,12 @@
 			.orElseThrow();
 	}
 
+	private static List<Effect> notes(List<Effect> effects) {
+		return effects.stream()
+			.filter((effect) -> effect instanceof Effect.Note note && note.subject().equals(UPSTREAM.value()))
+			.toList();
+	}
+
 	private static long sends(List<Effect> effects) {
 		return effects.stream().filter(Effect.Send.class::isInstance).count();
 	}
