--- a/ebonyford-router/src/main/java/org/ebonyford/router/Main.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/Main.java
@@ -6,7 +6,10 @@
 import java.util.UUID;
 
 import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
 import io.dropwizard.logging.common.BootstrapLogging;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import org.ebonyford.router.command.CommandEnvironment;
 import org.ebonyford.router.command.CommandLine;
@@ -40,7 +43,8 @@
 	 * @param arguments the command and its options
 	 */
 	public static void main(String[] arguments) {
-		BootstrapLogging.bootstrap(Level.WARN);
+		BootstrapLogging.bootstrap(Level.INFO);
+		((LoggerContext) LoggerFactory.getILoggerFactory()).getLogger(Logger.ROOT_LOGGER_NAME).setLevel(Level.WARN);
 		CommandLine line = new CommandLine(environment(), System.out, System.err);
 		System.exit(line.run(arguments).number());
 	}
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/DropwizardLauncher.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/DropwizardLauncher.java
@@ -2,7 +2,10 @@
 
 import java.util.concurrent.CompletableFuture;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
 import com.google.inject.Guice;
+import org.slf4j.LoggerFactory;
 
 import org.ebonyford.router.RouterLauncher;
 import org.ebonyford.router.settings.RouterKeys;
@@ -18,14 +21,25 @@
 	 */
 	INSTANCE;
 
+	/**
+	 * The name that all loggers of the router begin with.
+	 */
+	private static final String OWN_LOGGERS = "org.ebonyford";
+
 	@Override
 	public CompletableFuture<Void> launch(RouterSettings settings) {
+		startLogging();
 		RouterProcess process = Guice.createInjector(new RouterModule(settings)).getInstance(RouterProcess.class);
 		long timeout = settings.value(RouterKeys.Stop.NOTICE) + settings.value(RouterKeys.Stop.TIMEOUT);
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> finish(process, timeout), "stop"));
 		return process.start();
 	}
 
+	private static void startLogging() {
+		LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+		context.getLogger(OWN_LOGGERS).setLevel(Level.INFO);
+	}
+
 	private static void finish(RouterProcess process, long timeoutMillis) {
 		process.stop();
 		process.awaitEnd(timeoutMillis);
