--- a/ebonyford/src/main/java/org/ebonyford/message/PeerMessage.java
+++ b/ebonyford/src/main/java/org/ebonyford/message/PeerMessage.java
@@ -97,10 +97,11 @@
 	}
 
 	/**
-	 * Tells the owners of slots which of them the sender's running requests occupy.
+	 * Tells an owner of slots all that the sender's running requests occupy at the
+	 * upstreams of which the receiver owns at least one slot.
 	 *
 	 * @param sentAt the sender's clock reading in milliseconds
-	 * @param slots the occupied slots that the receiver owns in the sender's view
+	 * @param slots the occupied slots, those of other owners among them
 	 */
 	record Occupied(long sentAt, List<Slot> slots) implements PeerMessage {
 
