Let a cut be in force at its return

Network.cut only handed the change to the selector's thread. A request sent right after the return could pass before the connection was held, and its answer was then held instead, so that the stand-in had begun 2 calls.

Ruled out: a connection that the relay can't attribute to the test (its cut would not hold the answer either, and the call would have completed); bytes that waited in the relay (none wait on an idle connection).

Change: cut, heal and healAll return once the selector's thread has applied them, within 60 s.

Figures: the new testCutIsInForceAtItsReturn holds the selector's thread and was red before the change (the cut returned at once) and green after it, in two runs of two.

Conclusion: every test between processes that cuts a router relied on this; none can send before its cut any longer.

--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/relay/Network.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/relay/Network.java
@@ -13,8 +13,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
 
 /**
@@ -23,6 +25,11 @@
  */
 public final class Network implements AutoCloseable {
 
+	/**
+	 * How long a cut or its heal takes to be in force at most, in seconds.
+	 */
+	private static final int REFRESH_SECONDS = 60;
+
 	/**
 	 * Tells who opened a connection.
 	 */
@@ -110,23 +117,24 @@
 	}
 
 	/**
-	 * Cuts a source from a target.
+	 * Cuts a source from a target. Nothing that is sent after the return passes.
 	 * @param source the name of the source
 	 * @param target the name of the target
 	 */
 	public void cut(String source, String target) {
 		this.cuts.add(new Cut(source, target));
-		execute(this::refresh);
+		complete(this::refresh);
 	}
 
 	/**
-	 * Heals the cut of a source from a target.
+	 * Heals the cut of a source from a target. What waited has passed on its way at the
+	 * return.
 	 * @param source the name of the source
 	 * @param target the name of the target
 	 */
 	public void heal(String source, String target) {
 		this.cuts.remove(new Cut(source, target));
-		execute(this::refresh);
+		complete(this::refresh);
 	}
 
 	/**
@@ -134,7 +142,7 @@
 	 */
 	public void healAll() {
 		this.cuts.clear();
-		execute(this::refresh);
+		complete(this::refresh);
 	}
 
 	/**
@@ -156,6 +164,11 @@
 		this.selector.wakeup();
 	}
 
+	private void complete(Runnable task) {
+		CompletableFuture<Void> done = CompletableFuture.runAsync(task, this::execute);
+		done.orTimeout(REFRESH_SECONDS, TimeUnit.SECONDS).join();
+	}
+
 	private void execute(Runnable task) {
 		this.tasks.add(task);
 		this.selector.wakeup();
--- a/ebonyford-emulator/src/test/java/org/ebonyford/emulator/relay/NetworkTest.java
+++ b/ebonyford-emulator/src/test/java/org/ebonyford/emulator/relay/NetworkTest.java
@@ -1,7 +1,11 @@
 package org.ebonyford.emulator.relay;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -45,6 +49,41 @@
 		}
 	}
 
+	@Test
+	public void testCutIsInForceAtItsReturn() throws Exception {
+		CountDownLatch entered = new CountDownLatch(1);
+		CountDownLatch released = new CountDownLatch(1);
+		ConnectionOwner slow = (from, to) -> {
+			entered.countDown();
+			await(released);
+			return Optional.of(SELF);
+		};
+		try (Network network = new Network(slow);
+				ServiceStandIn service = new ServiceStandIn(UpstreamSettings.service("raportti-1"));
+				Socket connection = connect(network.relay("raportti-1", service.address()))) {
+			await(entered);
+			CompletableFuture<Void> cut = CompletableFuture.runAsync(() -> network.cut(SELF, "raportti-1"));
+			assertThrows(TimeoutException.class, () -> cut.get(300, TimeUnit.MILLISECONDS));
+			released.countDown();
+			cut.get(30, TimeUnit.SECONDS);
+			assertTrue(connection.isConnected());
+		}
+	}
+
+	private static Socket connect(String address) throws IOException {
+		int colon = address.lastIndexOf(':');
+		return new Socket(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+	}
+
+	private static void await(CountDownLatch latch) {
+		try {
+			assertTrue(latch.await(30, TimeUnit.SECONDS));
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	private static CallSpec call(String content) {
 		return CallSpec.call(new Deployment.Organisation("levi", "small"), "raportti", "/reports", content);
 	}
