--- a/ebonyford-router/src/main/java/org/ebonyford/router/command/Fetcher.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/command/Fetcher.java
@@ -1,6 +1,7 @@
 package org.ebonyford.router.command;
 
 import java.net.URI;
+import java.security.KeyStore;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
@@ -18,4 +19,14 @@
 	 */
 	CompletableFuture<String> fetch(URI address, Optional<String> bearer);
 
+	/**
+	 * Returns a copy that trusts servers by other authorities than those of the Java
+	 * runtime.
+	 * @param authorities the certificates of the authorities
+	 * @return the copy, or this instance if it speaks no TLS
+	 */
+	default Fetcher trusting(KeyStore authorities) {
+		return this;
+	}
+
 }
--- a/ebonyford-router/src/main/java/org/ebonyford/router/command/HttpFetcher.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/command/HttpFetcher.java
@@ -3,7 +3,10 @@
 import java.io.IOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.KeyStore;
 import java.time.Duration;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
@@ -13,25 +16,52 @@
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.client5.http.ssl.DefaultClientTlsStrategy;
+import org.apache.hc.client5.http.ssl.TlsSocketStrategy;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ParseException;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.ssl.SSLContexts;
 import org.apache.hc.core5.util.Timeout;
 
 /**
  * Reads documents with Apache HttpClient, one connection for each.
  *
  * @param timeout how long a connection and an answer may take each
+ * @param authorities the certificates of the authorities that servers are trusted by, or
+ * empty for those of the Java runtime
  */
-public record HttpFetcher(Duration timeout) implements Fetcher {
+public record HttpFetcher(Duration timeout, Optional<KeyStore> authorities) implements Fetcher {
 
 	/**
 	 * The characters that a document may have.
 	 */
 	private static final int MAX_DOCUMENT = 16 << 20;
 
+	/**
+	 * Creates a fetcher.
+	 * @throws NullPointerException if the timeout or the authorities are {@code null}
+	 */
+	public HttpFetcher {
+		Objects.requireNonNull(timeout, "timeout");
+		Objects.requireNonNull(authorities, "authorities");
+	}
+
+	/**
+	 * Creates a fetcher that trusts servers by the authorities of the Java runtime.
+	 * @param timeout how long a connection and an answer may take each
+	 */
+	public HttpFetcher(Duration timeout) {
+		this(timeout, Optional.empty());
+	}
+
+	@Override
+	public Fetcher trusting(KeyStore trusted) {
+		return new HttpFetcher(this.timeout, Optional.of(trusted));
+	}
+
 	@Override
 	public CompletableFuture<String> fetch(URI address, Optional<String> bearer) {
 		return CompletableFuture.supplyAsync(() -> get(address, bearer));
@@ -51,11 +81,19 @@
 
 	private CloseableHttpClient client() {
 		ConnectionConfig connections = ConnectionConfig.custom().setConnectTimeout(Timeout.of(this.timeout)).build();
-		return HttpClients.custom()
-			.setConnectionManager(
-					PoolingHttpClientConnectionManagerBuilder.create().setDefaultConnectionConfig(connections).build())
-			.disableAutomaticRetries()
-			.build();
+		PoolingHttpClientConnectionManagerBuilder manager = PoolingHttpClientConnectionManagerBuilder.create();
+		manager.setDefaultConnectionConfig(connections);
+		this.authorities.map(HttpFetcher::tls).ifPresent(manager::setTlsSocketStrategy);
+		return HttpClients.custom().setConnectionManager(manager.build()).disableAutomaticRetries().build();
+	}
+
+	private static TlsSocketStrategy tls(KeyStore trusted) {
+		try {
+			return new DefaultClientTlsStrategy(SSLContexts.custom().loadTrustMaterial(trusted, null).build());
+		}
+		catch (GeneralSecurityException ex) {
+			throw new CommandException("The authorities cannot be used: " + ex.getMessage());
+		}
 	}
 
 	private static String document(ClassicHttpResponse response) throws IOException, ParseException {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/command/StatusOperation.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/command/StatusOperation.java
@@ -1,6 +1,9 @@
 package org.ebonyford.router.command;
 
+import java.io.IOException;
 import java.net.URI;
+import java.nio.file.Path;
+import java.security.GeneralSecurityException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,6 +19,7 @@
 import com.github.rvesse.airline.annotations.Option;
 
 import org.ebonyford.router.settings.RouterKeys;
+import org.ebonyford.router.tls.PemKeyStore;
 
 /**
  * Asks routers what is in force at them.
@@ -60,15 +64,24 @@
 			description = "The port of the listed routers' interfaces for operators; without it 8081.")
 	private int port = RouterKeys.Operators.PORT.standardValue().orElseThrow();
 
+	/**
+	 * The file of the authorities that routers are trusted by.
+	 */
+	@Option(name = "--authorities", title = "FILE",
+			description = "The certificates in PEM form of the authorities that routers are trusted by; "
+					+ "with it listed routers are asked over TLS.")
+	private String authorities;
+
 	@Override
 	Answer answer(CommandEnvironment environment) {
 		Optional<String> secret = environment.variables().apply(SECRET_VARIABLE);
 		if (secret.isEmpty()) {
 			throw new CommandException("Set " + SECRET_VARIABLE + " to the operators' secret");
 		}
+		Fetcher fetcher = fetcher(environment);
 		Map<String, CompletableFuture<String>> asked = new LinkedHashMap<>();
 		for (String router : routers(environment)) {
-			asked.put(router, environment.fetcher().fetch(address(router, "/status"), secret));
+			asked.put(router, fetcher.fetch(address(router, "/status"), secret));
 		}
 		List<RouterAnswer> answers = asked.entrySet()
 			.stream()
@@ -77,6 +90,19 @@
 		return summary(answers);
 	}
 
+	private Fetcher fetcher(CommandEnvironment environment) {
+		if (this.authorities == null) {
+			return environment.fetcher();
+		}
+		try {
+			return environment.fetcher().trusting(PemKeyStore.ofAuthorities(Path.of(this.authorities)));
+		}
+		catch (IOException | GeneralSecurityException ex) {
+			throw new CommandException(
+					"The authorities in " + this.authorities + " cannot be used: " + ex.getMessage());
+		}
+	}
+
 	private List<String> routers(CommandEnvironment environment) {
 		if (this.routers.isEmpty() == (this.list == null)) {
 			throw new CommandException("Give either --router or --list");
@@ -88,9 +114,10 @@
 		try {
 			String document = environment.fetcher().fetch(address(this.list, "/vms"), Optional.empty()).join();
 			List<String> addresses = new ArrayList<>();
+			String scheme = (this.authorities != null) ? "https://" : "http://";
 			for (JsonNode vm : MAPPER.readTree(document).path("vms")) {
 				String address = vm.path("address").asText();
-				addresses.add("http://" + address.substring(0, address.lastIndexOf(':') + 1) + this.port);
+				addresses.add(scheme + address.substring(0, address.lastIndexOf(':') + 1) + this.port);
 			}
 			return addresses;
 		}
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/DropwizardLauncher.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/DropwizardLauncher.java
@@ -5,6 +5,7 @@
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
 import com.google.inject.Guice;
+import com.google.inject.ProvisionException;
 import org.slf4j.LoggerFactory;
 
 import org.ebonyford.router.RouterLauncher;
@@ -29,7 +30,15 @@
 	@Override
 	public CompletableFuture<Void> launch(RouterSettings settings) {
 		startLogging();
-		RouterProcess process = Guice.createInjector(new RouterModule(settings)).getInstance(RouterProcess.class);
+		try {
+			return launch(settings, Guice.createInjector(new RouterModule(settings)).getInstance(RouterProcess.class));
+		}
+		catch (ProvisionException ex) {
+			return CompletableFuture.failedFuture((ex.getCause() != null) ? ex.getCause() : ex);
+		}
+	}
+
+	private static CompletableFuture<Void> launch(RouterSettings settings, RouterProcess process) {
 		long timeout = settings.value(RouterKeys.Stop.NOTICE) + settings.value(RouterKeys.Stop.TIMEOUT);
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> finish(process, timeout), "stop"));
 		return process.start();
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/HttpServer.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/HttpServer.java
@@ -32,6 +32,7 @@
 import org.glassfish.jersey.servlet.ServletProperties;
 
 import org.ebonyford.router.operator.OperatorResource;
+import org.ebonyford.router.tls.PemKeyStore;
 
 /**
  * Listens for callers on one port and for operators on another, with Dropwizard's server.
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/SettingsMapping.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/SettingsMapping.java
@@ -18,6 +18,7 @@
 import org.ebonyford.router.settings.RouterKeys;
 import org.ebonyford.router.settings.RouterSettings;
 import org.ebonyford.router.settings.Setting;
+import org.ebonyford.router.tls.PemKeyStore;
 import org.ebonyford.router.upstream.UpstreamSettings;
 import org.ebonyford.slot.SlotOwners;
 import org.ebonyford.suspect.SuspectSettings;
@@ -175,10 +176,12 @@
 
 	private static KeyStore keyStore(Listener.Tls tls) {
 		try {
-			return PemKeyStore.of(tls.certificate(), tls.key());
+			return PemKeyStore.ofIdentity(tls.certificate(), tls.key());
 		}
 		catch (IOException | GeneralSecurityException ex) {
-			throw new IllegalArgumentException("The certificate " + tls.certificate() + " cannot be used", ex);
+			throw new IllegalArgumentException(
+					"The certificate " + tls.certificate() + " with the key " + tls.key() + " cannot be used: " + ex,
+					ex);
 		}
 	}
 
--- /dev/null
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/tls/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Certificates and keys out of files in PEM form.
+ */
+package org.ebonyford.router.tls;
--- a/ebonyford-router/src/test/java/org/ebonyford/router/command/CommandLineTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/command/CommandLineTest.java
@@ -14,6 +14,7 @@
 
 import org.ebonyford.router.log.FakeLogClient;
 import org.ebonyford.router.settings.RouterSettingsReader;
+import org.ebonyford.router.tls.TestAuthority;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
@@ -184,6 +185,20 @@
 		assertEquals(run("status", "--list", "http://127.0.0.1:2"), ExitCode.OK);
 	}
 
+	@Test
+	public void testStatusAsksTheListedRoutersOverTls() throws IOException {
+		this.documents.put("http://127.0.0.1:2/vms", "{\"vms\":[{\"address\":\"10.0.0.1:8082\"}]}");
+		this.documents.put("https://10.0.0.1:8081/status", "{\"controlVersion\":7}");
+		String authorities = new TestAuthority("authority").certificate().toString();
+		assertEquals(run("status", "--list", "http://127.0.0.1:2", "--authorities", authorities), ExitCode.OK);
+	}
+
+	@Test
+	public void testUnusableAuthoritiesAreNamed() {
+		assertEquals(run("status", "--router", "https://127.0.0.1:5", "--authorities", "none.pem"), ExitCode.REFUSED);
+		assertTrue(printed().contains("none.pem"), printed());
+	}
+
 	@Test
 	public void testStatusTellsARouterThatDoesNotAnswer() {
 		assertEquals(run("status", "--router", "http://127.0.0.1:5"), ExitCode.UNREACHABLE);
