--- a/ebonyford-router/src/test/java/org/ebonyford/router/platform/JsonReaderTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/platform/JsonReaderTest.java
@@ -5,7 +5,9 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -92,6 +94,28 @@
 		}
 	}
 
+	@Test
+	public void testConnectionIsKeptAfterWholeAnswer() throws Exception {
+		Set<Integer> callers = ConcurrentHashMap.newKeySet();
+		HttpServer server = HttpServer.create(new java.net.InetSocketAddress("127.0.0.1", 0), 0);
+		server.createContext("/", (exchange) -> {
+			callers.add(exchange.getRemoteAddress().getPort());
+			exchange.sendResponseHeaders(200, 2);
+			exchange.getResponseBody().write("{}".getBytes());
+			exchange.close();
+		});
+		server.start();
+		try {
+			for (int index = 0; index < 20; index++) {
+				read(server.getAddress().getPort(), GENEROUS_MILLIS).get(GENEROUS_MILLIS, TimeUnit.MILLISECONDS);
+			}
+			assertTrue(callers.size() <= 2, "connections: " + callers.size());
+		}
+		finally {
+			server.stop(0);
+		}
+	}
+
 	private CompletableFuture<JsonNode> read(int port, long timeout) {
 		return this.reader.read("http://127.0.0.1:" + port + "/", JsonNode.class, timeout);
 	}
