Split claims into cohesive classes

Change: Attempts finds this process's own work, ReadProgress says how far the stream was read, WallClock tells the time of clock readings, Restatement restates and forgets, FinalAnswers answers requests. Behaviour is unchanged.

Run: ClaimsTest, ClaimStepsTest, ClaimTableTest and ReducerTest, green.

--- a/ebonyford/src/main/java/org/ebonyford/claim/Claims.java
+++ b/ebonyford/src/main/java/org/ebonyford/claim/Claims.java
@@ -1,13 +1,8 @@
 package org.ebonyford.claim;
 
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 
 import org.ebonyford.claim.Attempt.Phase;
@@ -23,7 +18,6 @@
 import org.ebonyford.message.PeerMessage;
 import org.ebonyford.request.Ending;
 import org.ebonyford.request.Outcome;
-import org.ebonyford.request.Refusal;
 import org.ebonyford.request.RefusalReason;
 import org.ebonyford.request.Request;
 import org.ebonyford.request.StoredAnswer;
@@ -39,17 +33,6 @@
  */
 public final class Claims {
 
-	/**
-	 * The keys that one tick restates or forgets at most.
-	 */
-	private static final int SWEEP_LIMIT = 1_000;
-
-	/**
-	 * The milliseconds since the log was last read to its end, beyond which nothing is
-	 * restated, since it may have been overtaken.
-	 */
-	private static final long CAUGHT_UP_MILLIS = 5_000;
-
 	/**
 	 * The settings.
 	 */
@@ -65,11 +48,6 @@
 	 */
 	private final ClaimListener listener;
 
-	/**
-	 * The milliseconds by which this process restates later than the first one might.
-	 */
-	private final long restateJitter;
-
 	/**
 	 * What the log says.
 	 */
@@ -91,24 +69,29 @@
 	private final Waiters waiters = new Waiters();
 
 	/**
-	 * This process's own work by key.
+	 * This process's own work.
 	 */
-	private final Map<ClaimKey, Attempt> attempts = new HashMap<>();
+	private final Attempts attempts = new Attempts();
 
 	/**
-	 * This process's own work by request.
+	 * How far the log was read.
 	 */
-	private final Map<RequestId, Attempt> byRequest = new HashMap<>();
+	private final ReadProgress progress;
 
 	/**
-	 * This process's own work by the name of the claim.
+	 * Tells the wall-clock time.
 	 */
-	private final Map<String, Attempt> byClaim = new HashMap<>();
+	private final WallClock wallClock = new WallClock();
 
 	/**
-	 * The claims that wait for the log, the oldest first.
+	 * Restates what the log is about to remove.
 	 */
-	private final LinkedHashMap<String, Attempt> pending = new LinkedHashMap<>();
+	private final Restatement restatement;
+
+	/**
+	 * Gives requests their final answers.
+	 */
+	private final FinalAnswers answers;
 
 	/**
 	 * The names of the claims of ended processes whose outcome this process states to be
@@ -121,47 +104,6 @@
 	 */
 	private long nextClaim;
 
-	/**
-	 * The milliseconds to add to a clock reading for the wall-clock time, or empty before
-	 * the first one is known.
-	 */
-	private OptionalLong epochOffset = OptionalLong.empty();
-
-	/**
-	 * The offset in the log up to which all was read, or -1 before the first read.
-	 */
-	private long position = -1;
-
-	/**
-	 * The offset in the log up to which all must be read for the window to be complete.
-	 */
-	private long target;
-
-	/**
-	 * The clock reading in milliseconds before which the window is not complete.
-	 */
-	private long settledAt;
-
-	/**
-	 * The clock reading in milliseconds at which the log was last read to its end.
-	 */
-	private long caughtUpAt;
-
-	/**
-	 * Whether the whole window was read.
-	 */
-	private boolean complete;
-
-	/**
-	 * Whether the log could be read when it was last tried.
-	 */
-	private boolean reachable;
-
-	/**
-	 * The wall-clock time in milliseconds of the latest claim that was read.
-	 */
-	private long logTime;
-
 	/**
 	 * Creates claims that know nothing of the log yet.
 	 * @param settings the settings
@@ -172,10 +114,12 @@
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.self = Objects.requireNonNull(self, "self");
 		this.listener = Objects.requireNonNull(listener, "listener");
-		this.restateJitter = Math.floorMod(self.vm().value().hashCode(), settings.restateJitterMillis());
 		this.table = new ClaimTable(settings.windowMillis(), settings.maxAnswerCharacters());
 		this.writer = new ClaimWriter(settings);
 		this.holders = new Holders(self);
+		this.progress = new ReadProgress(settings);
+		this.restatement = new Restatement(settings, self, this.table, this.writer);
+		this.answers = new FinalAnswers(settings.retryAfterMillis());
 	}
 
 	/**
@@ -188,9 +132,7 @@
 	 * @param outbox takes the effects
 	 */
 	public void begin(long now, long epochMillis, Request request, Outbox outbox) {
-		if (this.epochOffset.isEmpty()) {
-			observe(now, epochMillis);
-		}
+		this.wallClock.observeFirst(now, epochMillis);
 		route(now, request, outbox);
 		append(now, outbox);
 	}
@@ -198,11 +140,11 @@
 	private void route(long now, Request request, Outbox outbox) {
 		ClaimKey key = new ClaimKey(request.organisation(), request.key().orElseThrow());
 		Optional<ClaimRecord> known = this.table.find(key)
-			.filter((entry) -> !entry.expiredAt(epoch(now), this.settings.windowMillis()))
+			.filter((entry) -> !entry.expiredAt(this.wallClock.at(now), this.settings.windowMillis()))
 			.map(ClaimTable.Entry::statement);
-		Optional<Attempt> own = Optional.ofNullable(this.attempts.get(key));
-		if (!this.complete && known.filter((record) -> record.kind() != Kind.CLAIM).isEmpty()) {
-			refuse(request.id(), RefusalReason.CLAIMS_INCOMPLETE, Outcome.NOT_RUN, outbox);
+		Optional<Attempt> own = this.attempts.find(key);
+		if (!this.progress.complete() && known.filter((record) -> record.kind() != Kind.CLAIM).isEmpty()) {
+			this.answers.refuse(request.id(), RefusalReason.CLAIMS_INCOMPLETE, Outcome.NOT_RUN, outbox);
 		}
 		else if (known.isPresent()) {
 			repeat(now, request, own.flatMap(Claims::end).orElse(known.get()), outbox);
@@ -221,34 +163,19 @@
 
 	private void repeat(long now, Request request, ClaimRecord known, Outbox outbox) {
 		if (known.kind() != Kind.CLAIM || !known.fingerprint().equals(request.fingerprint())) {
-			conclude(request, known, outbox);
+			this.answers.conclude(request, known, outbox);
 		}
 		else if (this.holders.ended(known.holder())) {
-			conclude(request, declareUnknown(known, outbox), outbox);
+			this.answers.conclude(request, declareUnknown(known, outbox), outbox);
 		}
 		else if (this.waiters.size() >= this.settings.maxWaiting()) {
-			refuse(request.id(), RefusalReason.KEY_IN_USE, Outcome.UNKNOWN, outbox);
+			this.answers.refuse(request.id(), RefusalReason.KEY_IN_USE, Outcome.UNKNOWN, outbox);
 		}
 		else if (this.waiters.add(known, request, now)) {
 			ask(now, outbox);
 		}
 	}
 
-	private void conclude(Request request, ClaimRecord known, Outbox outbox) {
-		if (!known.fingerprint().equals(request.fingerprint())) {
-			refuseForGood(request.id(), RefusalReason.KEY_MISMATCH, Outcome.NOT_RUN, outbox);
-		}
-		else if (known.kind() == Kind.UNKNOWN) {
-			refuseForGood(request.id(), RefusalReason.KEY_UNKNOWN, Outcome.UNKNOWN, outbox);
-		}
-		else if (known.answer().isEmpty()) {
-			refuseForGood(request.id(), RefusalReason.ANSWER_NOT_KEPT, Outcome.RAN, outbox);
-		}
-		else {
-			outbox.add(new Effect.Replay(request.id(), known.answer().get()));
-		}
-	}
-
 	private ClaimRecord declareUnknown(ClaimRecord claim, Outbox outbox) {
 		ClaimRecord unknown = claim.ended(Kind.UNKNOWN, Optional.empty());
 		if (this.declared.add(claim.claimId())) {
@@ -259,30 +186,28 @@
 	}
 
 	private void claim(long now, ClaimKey key, Request request, Outbox outbox) {
-		if (!this.reachable) {
-			refuse(request.id(), RefusalReason.LOG_UNAVAILABLE, Outcome.NOT_RUN, outbox);
+		if (!this.progress.reachable()) {
+			this.answers.refuse(request.id(), RefusalReason.LOG_UNAVAILABLE, Outcome.NOT_RUN, outbox);
 			return;
 		}
 		if (full(key)) {
-			refuse(request.id(), RefusalReason.QUEUE_FULL, Outcome.NOT_RUN, outbox);
+			this.answers.refuse(request.id(), RefusalReason.QUEUE_FULL, Outcome.NOT_RUN, outbox);
 			return;
 		}
-		String name = this.self.vm() + "-" + this.self.number() + "-" + this.nextClaim++;
+		String name = this.self.vm() + "-" + this.self.number() + "-" + this.attempts.nextNumber();
 		Attempt attempt = new Attempt(request, new ClaimRecord(Kind.CLAIM, name, key.organisation(), key.key(),
-				request.fingerprint(), this.self, epoch(now), Optional.empty()), now);
-		this.attempts.put(key, attempt);
-		this.byRequest.put(request.id(), attempt);
-		this.byClaim.put(name, attempt);
+				request.fingerprint(), this.self, this.wallClock.at(now), Optional.empty()), now);
+		this.attempts.add(attempt);
 		submit(attempt);
 	}
 
 	private boolean full(ClaimKey key) {
-		return this.table.size() + this.pending.size() >= this.settings.maxKeys()
+		return this.table.size() + this.attempts.pending() >= this.settings.maxKeys()
 				|| this.table.size(key.organisation()) >= this.settings.maxKeysPerOrganisation();
 	}
 
 	private void submit(Attempt attempt) {
-		this.pending.put(attempt.claim().claimId(), attempt);
+		this.attempts.await(attempt);
 		this.writer.add(attempt.claim());
 	}
 
@@ -291,7 +216,7 @@
 			append.records()
 				.stream()
 				.filter((record) -> record.kind() == Kind.CLAIM)
-				.map((record) -> this.byClaim.get(record.claimId()))
+				.flatMap((record) -> this.attempts.find(record).stream())
 				.forEach((attempt) -> attempt.phase(Phase.APPENDED));
 			outbox.add(append);
 		});
@@ -303,8 +228,7 @@
 	 * @return {@code true} if its claim holds and it was not sent
 	 */
 	public boolean maySend(RequestId request) {
-		Attempt attempt = this.byRequest.get(request);
-		return attempt != null && attempt.phase() == Phase.HELD;
+		return this.attempts.find(request).filter((attempt) -> attempt.phase() == Phase.HELD).isPresent();
 	}
 
 	/**
@@ -317,7 +241,7 @@
 		if (!maySend(request)) {
 			throw new IllegalStateException("The request " + request + " may not be sent");
 		}
-		this.byRequest.get(request).phase(Phase.SENT);
+		this.attempts.find(request).orElseThrow().phase(Phase.SENT);
 	}
 
 	/**
@@ -327,7 +251,7 @@
 	 * @param request the request
 	 */
 	public void notRun(long now, RequestId request) {
-		Attempt attempt = this.byRequest.get(request);
+		Attempt attempt = this.attempts.find(request).orElse(null);
 		if (attempt != null && attempt.phase() == Phase.SENT) {
 			attempt.phase(Phase.HELD);
 		}
@@ -342,7 +266,7 @@
 	 * @param outbox takes the effects
 	 */
 	public void ended(long now, RequestId request, Ending ending, Optional<StoredAnswer> answer, Outbox outbox) {
-		Attempt attempt = this.byRequest.get(request);
+		Attempt attempt = this.attempts.find(request).orElse(null);
 		if (attempt == null || attempt.phase() == Phase.OVER) {
 			return;
 		}
@@ -365,14 +289,14 @@
 	}
 
 	private void end(Attempt attempt, ClaimRecord statement, Outbox outbox) {
-		this.pending.remove(statement.claimId());
+		this.attempts.settled(attempt);
 		attempt.end(statement);
 		this.writer.add(statement);
 		if (statement.kind() == Kind.UNKNOWN) {
 			outbox.add(new Effect.Note(LogEvent.CLAIM_UNKNOWN, statement.claimId()));
 		}
 		if (statement.kind() != Kind.RELEASE) {
-			this.waiters.removeAll(attempt.key()).forEach((repeat) -> conclude(repeat, statement, outbox));
+			this.waiters.removeAll(attempt.key()).forEach((repeat) -> this.answers.conclude(repeat, statement, outbox));
 		}
 	}
 
@@ -385,18 +309,18 @@
 	 */
 	public void abandoned(long now, RequestId request, Outbox outbox) {
 		if (this.waiters.remove(request)) {
-			refuseForGood(request, RefusalReason.DEADLINE, Outcome.UNKNOWN, outbox);
+			this.answers.refuseForGood(request, RefusalReason.DEADLINE, Outcome.UNKNOWN, outbox);
 			return;
 		}
-		Attempt attempt = this.byRequest.get(request);
+		Attempt attempt = this.attempts.find(request).orElse(null);
 		if (attempt == null || attempt.phase() == Phase.OVER) {
 			return;
 		}
 		if (attempt.phase() == Phase.SENT) {
-			refuseForGood(request, RefusalReason.DEADLINE, Outcome.UNKNOWN, outbox);
+			this.answers.refuseForGood(request, RefusalReason.DEADLINE, Outcome.UNKNOWN, outbox);
 			return;
 		}
-		refuseForGood(request, RefusalReason.DEADLINE, Outcome.NOT_RUN, outbox);
+		this.answers.refuseForGood(request, RefusalReason.DEADLINE, Outcome.NOT_RUN, outbox);
 		withdraw(now, attempt, outbox);
 		append(now, outbox);
 	}
@@ -407,17 +331,10 @@
 			end(attempt, attempt.claim().ended(Kind.RELEASE, Optional.empty()), outbox);
 			return;
 		}
-		forget(attempt);
+		this.attempts.remove(attempt);
 		reroute(now, attempt.key(), outbox);
 	}
 
-	private void forget(Attempt attempt) {
-		this.pending.remove(attempt.claim().claimId());
-		this.byClaim.remove(attempt.claim().claimId());
-		this.byRequest.remove(attempt.request().id());
-		this.attempts.remove(attempt.key());
-	}
-
 	private void reroute(long now, ClaimKey key, Outbox outbox) {
 		this.waiters.removeAll(key).forEach((repeat) -> route(now, repeat, outbox));
 	}
@@ -428,40 +345,21 @@
 	 * @param outbox takes the effects
 	 */
 	public void read(Event.ClaimsRead event, Outbox outbox) {
-		this.reachable = true;
-		if (event.first() > Math.max(0, this.position)) {
-			shortened(event, outbox);
+		if (this.progress.begin(event)) {
+			resumed(event.at(), outbox);
 		}
-		else if (this.position < 0) {
-			this.target = event.end();
-			this.settledAt = event.at();
-		}
-		boolean live = this.complete && event.next() >= event.end();
+		boolean live = this.progress.complete() && event.next() >= event.end();
 		event.records().forEach((record) -> apply(event.at(), record, live, outbox));
-		this.position = Math.max(this.position, event.next());
-		this.caughtUpAt = (event.next() >= event.end()) ? event.at() : this.caughtUpAt;
-		judge(event.at());
+		this.progress.finish(event);
 		append(event.at(), outbox);
 	}
 
-	private void shortened(Event.ClaimsRead event, Outbox outbox) {
-		this.complete = false;
-		this.target = event.end();
-		this.settledAt = event.at() + this.settings.settleMillis();
-		resumed(event.at(), outbox);
-	}
-
-	private void judge(long now) {
-		this.complete = this.complete || (this.position >= 0 && this.position >= this.target && now >= this.settledAt);
-	}
-
 	private void apply(long now, ClaimRecord record, boolean live, Outbox outbox) {
 		if (record.kind() == Kind.CLAIM) {
-			long time = this.epochOffset.isPresent() ? Math.min(record.createdAt(), epoch(now)) : record.createdAt();
-			this.logTime = Math.max(this.logTime, time);
+			this.wallClock.claimed(now, record);
 			this.holders.seen(record.holder());
 		}
-		this.table.apply(record, live ? epoch(now) : this.logTime);
+		this.table.apply(record, live ? this.wallClock.at(now) : this.wallClock.latestClaim());
 		switch (record.kind()) {
 			case CLAIM -> claimed(now, record, outbox);
 			case RELEASE -> released(now, record, outbox);
@@ -470,7 +368,7 @@
 	}
 
 	private void claimed(long now, ClaimRecord record, Outbox outbox) {
-		Attempt attempt = this.byClaim.get(record.claimId());
+		Attempt attempt = this.attempts.find(record).orElse(null);
 		if (attempt == null) {
 			if (record.holder().equals(this.self) && this.table.holds(record)) {
 				this.writer.add(record.ended(Kind.RELEASE, Optional.empty()));
@@ -482,7 +380,7 @@
 	}
 
 	private void settle(long now, Attempt attempt, Outbox outbox) {
-		this.pending.remove(attempt.claim().claimId());
+		this.attempts.settled(attempt);
 		if (!this.table.holds(attempt.claim())) {
 			lose(now, attempt, outbox);
 		}
@@ -496,21 +394,21 @@
 	}
 
 	private void lose(long now, Attempt attempt, Outbox outbox) {
-		forget(attempt);
+		this.attempts.remove(attempt);
 		route(now, attempt.request(), outbox);
 		reroute(now, attempt.key(), outbox);
 	}
 
 	private void confirm(long now, Attempt attempt) {
-		long time = Math.max(epoch(now), attempt.claim().createdAt() + 1);
+		long time = Math.max(this.wallClock.at(now), attempt.claim().createdAt() + 1);
 		attempt.renew(attempt.claim().renewed(time), now);
 		submit(attempt);
 	}
 
 	private void released(long now, ClaimRecord record, Outbox outbox) {
-		Attempt attempt = this.byClaim.get(record.claimId());
+		Attempt attempt = this.attempts.find(record).orElse(null);
 		if (attempt != null && attempt.end().filter((end) -> end.kind() == Kind.RELEASE).isPresent()) {
-			forget(attempt);
+			this.attempts.remove(attempt);
 		}
 		if (this.table.find(ClaimKey.of(record)).isEmpty()) {
 			reroute(now, ClaimKey.of(record), outbox);
@@ -519,12 +417,12 @@
 
 	private void stated(long now, ClaimRecord record, Outbox outbox) {
 		this.declared.remove(record.claimId());
-		Attempt attempt = this.byClaim.get(record.claimId());
+		Attempt attempt = this.attempts.find(record).orElse(null);
 		if (attempt != null && attempt.end().filter((end) -> end.kind() == record.kind()).isPresent()) {
-			forget(attempt);
+			this.attempts.remove(attempt);
 		}
 		ClaimKey key = ClaimKey.of(record);
-		Attempt overtaken = this.attempts.get(key);
+		Attempt overtaken = this.attempts.find(key).orElse(null);
 		if (overtaken != null && overtaken.phase() == Phase.HELD
 				&& !this.table.find(key).filter((entry) -> entry.sameClaim(overtaken.claim())).isPresent()) {
 			this.listener.suspended(now, overtaken.request(), outbox);
@@ -542,7 +440,7 @@
 	 * @param outbox takes the effects
 	 */
 	public void logUnreachable(long now, Outbox outbox) {
-		this.reachable = false;
+		this.progress.unreachable();
 		expire(now, outbox);
 	}
 
@@ -555,7 +453,7 @@
 	 */
 	public void appendEnded(long now, long append, Result result, Outbox outbox) {
 		for (ClaimRecord claim : this.writer.ended(now, append, result)) {
-			Attempt attempt = this.byClaim.get(claim.claimId());
+			Attempt attempt = this.attempts.find(claim).orElse(null);
 			if (attempt != null && attempt.phase() == Phase.APPENDED && attempt.claim().equals(claim)) {
 				attempt.phase(Phase.QUEUED);
 				this.writer.add(claim);
@@ -585,14 +483,15 @@
 	}
 
 	private PeerMessage.ClaimStatus status(String claimId) {
-		Optional<Attempt> attempt = Optional.ofNullable(this.byClaim.get(claimId));
+		Optional<Attempt> attempt = this.attempts.claim(claimId);
 		boolean running = attempt.filter((own) -> own.end().isEmpty()).isPresent();
 		return new PeerMessage.ClaimStatus(claimId, running, attempt.flatMap(Claims::end).stream().toList());
 	}
 
 	private void concludeAll(ClaimRecord end, Outbox outbox) {
 		this.waiters.key(end.claimId())
-			.ifPresent((key) -> this.waiters.removeAll(key).forEach((repeat) -> conclude(repeat, end, outbox)));
+			.ifPresent((key) -> this.waiters.removeAll(key)
+				.forEach((repeat) -> this.answers.conclude(repeat, end, outbox)));
 	}
 
 	/**
@@ -636,40 +535,33 @@
 	 * @param outbox takes the effects
 	 */
 	public void tick(long now, long epochMillis, Outbox outbox) {
-		observe(now, epochMillis);
-		judge(now);
+		this.wallClock.observe(now, epochMillis);
+		this.progress.judge(now);
 		overdue(now, outbox);
 		expire(now, outbox);
 		concludeEnded(outbox);
 		this.waiters.removeOlder(now - this.settings.joinMillis())
-			.forEach((repeat) -> refuse(repeat.id(), RefusalReason.KEY_IN_USE, Outcome.UNKNOWN, outbox));
+			.forEach((repeat) -> this.answers.refuse(repeat.id(), RefusalReason.KEY_IN_USE, Outcome.UNKNOWN, outbox));
 		ask(now, outbox);
-		if (this.complete && now <= this.caughtUpAt + CAUGHT_UP_MILLIS) {
-			restate(now);
+		if (this.progress.caughtUp(now)) {
+			this.restatement.run(this.wallClock.at(now));
 		}
 		append(now, outbox);
 	}
 
 	private void overdue(long now, Outbox outbox) {
 		this.waiters.removeOverdue(now)
-			.forEach((repeat) -> refuseForGood(repeat.id(), RefusalReason.DEADLINE, Outcome.UNKNOWN, outbox));
-		this.pending.values()
-			.stream()
-			.map(Attempt::request)
-			.filter((request) -> request.deadline() <= now)
-			.toList()
-			.forEach((request) -> abandoned(now, request.id(), outbox));
+			.forEach((repeat) -> this.answers.refuseForGood(repeat.id(), RefusalReason.DEADLINE, Outcome.UNKNOWN,
+					outbox));
+		this.attempts.overdue(now).forEach((request) -> abandoned(now, request.id(), outbox));
 	}
 
 	private void expire(long now, Outbox outbox) {
-		List<Attempt> expired = this.pending.values()
-			.stream()
-			.takeWhile((attempt) -> attempt.since() + this.settings.patienceMillis() <= now)
-			.toList();
-		for (Attempt attempt : expired) {
-			refuse(attempt.request().id(), RefusalReason.LOG_UNAVAILABLE, Outcome.NOT_RUN, outbox);
+		for (Attempt attempt : this.attempts.impatient(now - this.settings.patienceMillis())) {
+			this.answers.refuse(attempt.request().id(), RefusalReason.LOG_UNAVAILABLE, Outcome.NOT_RUN, outbox);
 			this.waiters.removeAll(attempt.key())
-				.forEach((repeat) -> refuse(repeat.id(), RefusalReason.LOG_UNAVAILABLE, Outcome.NOT_RUN, outbox));
+				.forEach((repeat) -> this.answers.refuse(repeat.id(), RefusalReason.LOG_UNAVAILABLE, Outcome.NOT_RUN,
+						outbox));
 			withdraw(now, attempt, outbox);
 		}
 	}
@@ -682,28 +574,6 @@
 				.add(new Effect.ToPeer(claim.holder().vm(), new PeerMessage.ClaimQuery(claim.claimId()))));
 	}
 
-	private void restate(long now) {
-		long due = epoch(now) - this.settings.restateMillis() - this.restateJitter;
-		for (int swept = 0; swept < SWEEP_LIMIT; swept++) {
-			Optional<ClaimTable.Entry> oldest = this.table.oldest().filter((entry) -> entry.statedAt() <= due);
-			if (oldest.isEmpty()) {
-				return;
-			}
-			sweep(now, oldest.get());
-		}
-	}
-
-	private void sweep(long now, ClaimTable.Entry entry) {
-		ClaimRecord statement = entry.statement();
-		ClaimKey key = ClaimKey.of(statement);
-		if (entry.expiredAt(epoch(now), this.settings.windowMillis() + this.settings.graceMillis())) {
-			this.table.remove(key);
-			return;
-		}
-		this.writer.restate(entry.ended() ? statement : statement.ended(Kind.UNKNOWN, Optional.empty()));
-		this.table.restated(key, epoch(now));
-	}
-
 	/**
 	 * Notes that the event loop stood still. Claims under which nothing was sent must be
 	 * confirmed by the log before they hold again.
@@ -712,7 +582,7 @@
 	 */
 	public void resumed(long now, Outbox outbox) {
 		expire(now, outbox);
-		for (Attempt attempt : List.copyOf(this.attempts.values())) {
+		for (Attempt attempt : this.attempts.all()) {
 			if (attempt.phase() == Phase.APPENDED) {
 				attempt.expire();
 			}
@@ -728,7 +598,7 @@
 	 * @return {@code true} if requests that may not be repeated can be taken
 	 */
 	public boolean complete() {
-		return this.complete;
+		return this.progress.complete();
 	}
 
 	/**
@@ -744,7 +614,7 @@
 	 * @return the number
 	 */
 	public int pending() {
-		return this.pending.size();
+		return this.attempts.pending();
 	}
 
 	/**
@@ -787,21 +657,4 @@
 		return this.writer.backlog();
 	}
 
-	private void observe(long now, long epochMillis) {
-		this.epochOffset = OptionalLong.of(epochMillis - now);
-	}
-
-	private long epoch(long now) {
-		return now + this.epochOffset.orElse(0);
-	}
-
-	private void refuse(RequestId request, RefusalReason reason, Outcome outcome, Outbox outbox) {
-		outbox.add(new Effect.Refuse(request,
-				new Refusal(reason, outcome, OptionalLong.of(this.settings.retryAfterMillis()))));
-	}
-
-	private static void refuseForGood(RequestId request, RefusalReason reason, Outcome outcome, Outbox outbox) {
-		outbox.add(new Effect.Refuse(request, new Refusal(reason, outcome, OptionalLong.empty())));
-	}
-
 }
