Hand statements to one claim writer of each data centre

Cause: each router appends for itself, up to 20 times a second, so that the appends of a data centre grow with its routers.

Change: the live routers of a data centre are ordered by a rendezvous hash. A router hands its statements to the first one that it does not doubt, and appends them itself if it does not read them in the log within hand-over (250 ms), is told that they are declined, or the writer leaves or falls silent. A writer appends statements of others once, drops those that are older than hand-over or that it held while it stood still, and takes none while it stops or cannot read the log. What may be sent is decided by the log alone, as before. Statements that are only restated are gathered for 1 s.

Messages have no wire form yet.

--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/claim/ClaimCost.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/claim/ClaimCost.java
@@ -150,9 +150,9 @@
 		ClaimSettings base = ClaimSettings.DEFAULT;
 		return new ClaimSettings(base.windowMillis(), base.graceMillis(), base.retentionMillis(),
 				base.restateJitterMillis(), base.settleMillis(), batchMillis, base.batchRecords(),
-				base.batchCharacters(), base.patienceMillis(), base.retryMillis(), base.queryMillis(),
-				base.joinMillis(), base.retryAfterMillis(), 10 * base.maxKeys(), 10 * base.maxKeys(), base.maxWaiting(),
-				base.maxAnswerCharacters());
+				base.batchCharacters(), base.patienceMillis(), base.retryMillis(), base.handOverMillis(),
+				base.queryMillis(), base.joinMillis(), base.retryAfterMillis(), 10 * base.maxKeys(),
+				10 * base.maxKeys(), base.maxWaiting(), base.maxAnswerCharacters());
 	}
 
 	private void print(int count, int rate, long batchMillis, long nanos) {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/process/SettingsMapping.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/process/SettingsMapping.java
@@ -95,10 +95,10 @@
 				value(RouterKeys.Platform.LOG_RETENTION), value(RouterKeys.Claims.RESTATE_SPREAD),
 				value(RouterKeys.Claims.SETTLE), value(RouterKeys.Claims.BATCHING),
 				value(RouterKeys.Claims.BATCH_RECORDS), value(RouterKeys.Claims.BATCH_CHARACTERS),
-				value(RouterKeys.Claims.PATIENCE), value(RouterKeys.Claims.RETRY), value(RouterKeys.Claims.QUERY),
-				value(RouterKeys.Claims.JOIN), value(RouterKeys.Claims.RETRY_AFTER), value(RouterKeys.Claims.MAX_KEYS),
-				value(RouterKeys.Claims.MAX_KEYS_EACH), value(RouterKeys.Claims.MAX_WAITING),
-				value(RouterKeys.Claims.MAX_ANSWERS));
+				value(RouterKeys.Claims.PATIENCE), value(RouterKeys.Claims.RETRY), value(RouterKeys.Claims.HAND_OVER),
+				value(RouterKeys.Claims.QUERY), value(RouterKeys.Claims.JOIN), value(RouterKeys.Claims.RETRY_AFTER),
+				value(RouterKeys.Claims.MAX_KEYS), value(RouterKeys.Claims.MAX_KEYS_EACH),
+				value(RouterKeys.Claims.MAX_WAITING), value(RouterKeys.Claims.MAX_ANSWERS));
 	}
 
 	private SuspectSettings suspects() {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/settings/RouterKeys.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/settings/RouterKeys.java
@@ -634,6 +634,13 @@
 		public static final Setting<Long> RETRY = Setting.standard("claims", "retry", SettingFormats.TIME, "250 ms",
 				"The time between a failed append and the next one.");
 
+		/**
+		 * How long another router may take to append a statement before this one does it
+		 * itself.
+		 */
+		public static final Setting<Long> HAND_OVER = Setting.standard("claims", "hand-over", SettingFormats.TIME,
+				"250 ms", "How long another router may take to append a statement before this one does it itself.");
+
 		/**
 		 * The time between two questions to the holder of a claim.
 		 */
@@ -683,8 +690,8 @@
 		 * The settings of the section.
 		 */
 		private static final List<Setting<?>> ALL = List.of(WINDOW, CLOCK_SKEW, RESTATE_SPREAD, SETTLE, BATCHING,
-				BATCH_RECORDS, BATCH_CHARACTERS, PATIENCE, RETRY, QUERY, JOIN, RETRY_AFTER, MAX_KEYS, MAX_KEYS_EACH,
-				MAX_WAITING, MAX_ANSWERS);
+				BATCH_RECORDS, BATCH_CHARACTERS, PATIENCE, RETRY, HAND_OVER, QUERY, JOIN, RETRY_AFTER, MAX_KEYS,
+				MAX_KEYS_EACH, MAX_WAITING, MAX_ANSWERS);
 
 		private Claims() {
 		}
--- a/ebonyford/src/main/java/org/ebonyford/claim/ClaimSettings.java
+++ b/ebonyford/src/main/java/org/ebonyford/claim/ClaimSettings.java
@@ -18,6 +18,8 @@
  * @param patienceMillis the milliseconds for which a claim may wait for the log before
  * its request is refused
  * @param retryMillis the milliseconds between a failed append and the next one
+ * @param handOverMillis the milliseconds within which a statement that another router was
+ * asked to append must be read in the log, before this router appends it itself
  * @param queryMillis the milliseconds between two questions to the holder of a claim
  * @param joinMillis the milliseconds for which a repeat waits for the running request at
  * most
@@ -32,14 +34,14 @@
  */
 public record ClaimSettings(long windowMillis, long graceMillis, long retentionMillis, long restateJitterMillis,
 		long settleMillis, long batchMillis, int batchRecords, int batchCharacters, long patienceMillis,
-		long retryMillis, long queryMillis, long joinMillis, long retryAfterMillis, int maxKeys,
+		long retryMillis, long handOverMillis, long queryMillis, long joinMillis, long retryAfterMillis, int maxKeys,
 		int maxKeysPerOrganisation, int maxWaiting, long maxAnswerCharacters) {
 
 	/**
 	 * The settings of an operator who sets none.
 	 */
 	public static final ClaimSettings DEFAULT = new ClaimSettings(86_400_000L, 60_000L, 3_600_000L, 60_000L, 5_000L,
-			50L, 500, 65_536, 1_000L, 250L, 500L, 30_000L, 1_000L, 100_000, 50_000, 10_000, 8_388_608L);
+			50L, 500, 65_536, 1_000L, 250L, 250L, 500L, 30_000L, 1_000L, 100_000, 50_000, 10_000, 8_388_608L);
 
 	/**
 	 * Creates settings.
@@ -54,6 +56,7 @@
 		requirePositive("batch characters", batchCharacters);
 		requirePositive("patience", patienceMillis);
 		requirePositive("retry interval", retryMillis);
+		requirePositive("hand-over time", handOverMillis);
 		requirePositive("query interval", queryMillis);
 		requirePositive("join time", joinMillis);
 		requirePositive("keys", maxKeys);
--- a/ebonyford/src/main/java/org/ebonyford/claim/ClaimWriter.java
+++ b/ebonyford/src/main/java/org/ebonyford/claim/ClaimWriter.java
@@ -5,13 +5,16 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
 
 import org.ebonyford.claim.ClaimRecord.Kind;
 import org.ebonyford.effect.Effect;
 import org.ebonyford.event.Event.AppendEnded.Result;
 
 /**
- * Gathers statements into appends, of which at most one is in flight.
+ * Gathers statements into appends, of which at most one is in flight. Statements of other
+ * routers are appended once, if that can be done before their own routers do it.
  */
 final class ClaimWriter {
 
@@ -21,6 +24,16 @@
 	 */
 	private static final long FIRST_APPEND = 1L << 40;
 
+	/**
+	 * The milliseconds for which statements that are only restated are gathered.
+	 */
+	private static final long RESTATE_BATCH_MILLIS = 1_000;
+
+	/**
+	 * The statements of other routers that wait at most, in appends.
+	 */
+	private static final int MAX_RELAYED_APPENDS = 4;
+
 	/**
 	 * The settings.
 	 */
@@ -36,6 +49,11 @@
 	 */
 	private final Deque<ClaimRecord> claims = new ArrayDeque<>();
 
+	/**
+	 * Statements of other routers.
+	 */
+	private final Deque<Relayed> relayed = new ArrayDeque<>();
+
 	/**
 	 * Statements that are only restated.
 	 */
@@ -46,6 +64,17 @@
 	 */
 	private Optional<Effect.AppendClaims> flight = Optional.empty();
 
+	/**
+	 * The statements of other routers in the append in flight.
+	 */
+	private Set<ClaimRecord> relayedInFlight = Set.of();
+
+	/**
+	 * The clock reading in milliseconds from which on statements are appended that are
+	 * only restated.
+	 */
+	private long restateAt = Long.MIN_VALUE;
+
 	/**
 	 * The clock reading in milliseconds before which no append starts.
 	 */
@@ -85,6 +114,28 @@
 		this.restatements.add(record);
 	}
 
+	/**
+	 * Takes statements of another router, unless too many wait already.
+	 * @param now the clock reading in milliseconds
+	 * @param statements the statements
+	 * @return whether they were taken
+	 */
+	boolean relay(long now, List<ClaimRecord> statements) {
+		if (this.relayed.size() >= MAX_RELAYED_APPENDS * this.settings.batchRecords()) {
+			return false;
+		}
+		statements.forEach((statement) -> this.relayed.add(new Relayed(statement, now)));
+		return true;
+	}
+
+	/**
+	 * Forgets the statements of other routers, since this process stood still and they
+	 * appended them themselves.
+	 */
+	void forgetRelayed() {
+		this.relayed.clear();
+	}
+
 	/**
 	 * Takes back a claim that was not handed to an append.
 	 * @param claim the claim
@@ -102,33 +153,39 @@
 		if (this.flight.isPresent() || now < this.notBefore) {
 			return Optional.empty();
 		}
-		List<ClaimRecord> batch = batch();
-		if (batch.isEmpty()) {
+		this.relayed.removeIf((statement) -> statement.at() + this.settings.handOverMillis() <= now);
+		if (!due(now)) {
 			return Optional.empty();
 		}
+		List<ClaimRecord> batch = batch(now);
 		this.written += batch.size();
 		this.notBefore = now + this.settings.batchMillis();
 		this.flight = Optional.of(new Effect.AppendClaims(this.nextAppend++, batch));
 		return this.flight;
 	}
 
-	private List<ClaimRecord> batch() {
-		List<ClaimRecord> batch = new ArrayList<>();
-		int characters = 0;
-		for (Deque<ClaimRecord> queue : List.of(this.ends, this.claims, this.restatements)) {
-			while (!queue.isEmpty() && batch.size() < this.settings.batchRecords()
-					&& characters < this.settings.batchCharacters()) {
-				ClaimRecord record = queue.remove();
-				characters += record.answer().map((answer) -> answer.body().length()).orElse(0);
-				batch.add(record);
-			}
-		}
-		return batch;
+	private boolean due(long now) {
+		boolean restating = !this.restatements.isEmpty()
+				&& (now >= this.restateAt || this.restatements.size() >= this.settings.batchRecords());
+		return restating || !this.ends.isEmpty() || !this.claims.isEmpty() || !this.relayed.isEmpty();
+	}
+
+	private List<ClaimRecord> batch(long now) {
+		Batch batch = new Batch();
+		batch.fill(this.ends, (record) -> record);
+		batch.fill(this.claims, (record) -> record);
+		int own = batch.records.size();
+		batch.fill(this.relayed, Relayed::statement);
+		this.relayedInFlight = Set.copyOf(batch.records.subList(own, batch.records.size()));
+		batch.fill(this.restatements, (record) -> record);
+		this.restateAt = now + RESTATE_BATCH_MILLIS;
+		return batch.records;
 	}
 
 	/**
-	 * Notes that an append ended. Statements that end claims are appended once more
-	 * unless they are in the log; claims are not.
+	 * Notes that an append ended. This process's statements that end claims are appended
+	 * once more unless they are in the log; claims are not, nor statements of other
+	 * routers.
 	 * @param now the clock reading in milliseconds
 	 * @param append the number of the append
 	 * @param result how it ended
@@ -140,11 +197,17 @@
 			return List.of();
 		}
 		this.flight = Optional.empty();
+		Set<ClaimRecord> others = this.relayedInFlight;
+		this.relayedInFlight = Set.of();
 		if (result == Result.APPENDED) {
 			return List.of();
 		}
 		this.notBefore = now + this.settings.retryMillis();
-		List<ClaimRecord> records = ended.get().records();
+		List<ClaimRecord> records = ended.get()
+			.records()
+			.stream()
+			.filter((record) -> !others.contains(record))
+			.toList();
 		records.stream().filter((record) -> record.kind() != Kind.CLAIM).forEach(this.ends::add);
 		return (result == Result.FAILED) ? records.stream().filter((record) -> record.kind() == Kind.CLAIM).toList()
 				: List.of();
@@ -167,11 +230,50 @@
 	}
 
 	/**
-	 * Returns the number of statements that wait to be appended.
+	 * Returns the number of statements that wait to be appended, and of other routers'
+	 * statements that are being appended.
 	 * @return the number
 	 */
 	int backlog() {
-		return this.ends.size() + this.claims.size() + this.restatements.size();
+		return this.ends.size() + this.claims.size() + this.relayed.size() + this.relayedInFlight.size()
+				+ this.restatements.size();
+	}
+
+	/**
+	 * A statement of another router.
+	 *
+	 * @param statement the statement
+	 * @param at the clock reading in milliseconds at which it came
+	 */
+	private record Relayed(ClaimRecord statement, long at) {
+
+	}
+
+	/**
+	 * The statements of one append.
+	 */
+	private final class Batch {
+
+		/**
+		 * The statements.
+		 */
+		private final List<ClaimRecord> records = new ArrayList<>();
+
+		/**
+		 * The characters of the kept answers among them.
+		 */
+		private int characters;
+
+		private <T> void fill(Deque<T> queue, Function<T, ClaimRecord> statement) {
+			ClaimSettings bounds = ClaimWriter.this.settings;
+			while (!queue.isEmpty() && this.records.size() < bounds.batchRecords()
+					&& this.characters < bounds.batchCharacters()) {
+				ClaimRecord record = statement.apply(queue.remove());
+				this.characters += record.answer().map((answer) -> answer.body().length()).orElse(0);
+				this.records.add(record);
+			}
+		}
+
 	}
 
 }
--- a/ebonyford/src/main/java/org/ebonyford/claim/Claims.java
+++ b/ebonyford/src/main/java/org/ebonyford/claim/Claims.java
@@ -1,6 +1,8 @@
 package org.ebonyford.claim;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -100,9 +102,19 @@
 	private final Set<String> declared = new HashSet<>();
 
 	/**
-	 * The number of the next claim.
+	 * The statements that another router is asked to append.
 	 */
-	private long nextClaim;
+	private final HandOver handOver;
+
+	/**
+	 * The statements that this event brought and that were handed to nobody yet.
+	 */
+	private final List<ClaimRecord> fresh = new ArrayList<>();
+
+	/**
+	 * Whether this process is about to stop and takes no statements of others.
+	 */
+	private boolean stopping;
 
 	/**
 	 * Creates claims that know nothing of the log yet.
@@ -117,6 +129,7 @@
 		this.table = new ClaimTable(settings.windowMillis(), settings.maxAnswerCharacters());
 		this.writer = new ClaimWriter(settings);
 		this.holders = new Holders(self);
+		this.handOver = new HandOver(self.vm(), settings.handOverMillis());
 		this.progress = new ReadProgress(settings);
 		this.restatement = new Restatement(settings, self, this.table, this.writer);
 		this.answers = new FinalAnswers(settings.retryAfterMillis());
@@ -179,7 +192,7 @@
 	private ClaimRecord declareUnknown(ClaimRecord claim, Outbox outbox) {
 		ClaimRecord unknown = claim.ended(Kind.UNKNOWN, Optional.empty());
 		if (this.declared.add(claim.claimId())) {
-			this.writer.add(unknown);
+			this.fresh.add(unknown);
 			outbox.add(new Effect.Note(LogEvent.CLAIM_UNKNOWN, claim.claimId()));
 		}
 		return unknown;
@@ -208,20 +221,71 @@
 
 	private void submit(Attempt attempt) {
 		this.attempts.await(attempt);
-		this.writer.add(attempt.claim());
+		this.fresh.add(attempt.claim());
 	}
 
 	private void append(long now, Outbox outbox) {
+		handOver(now, outbox);
 		this.writer.start(now).ifPresent((append) -> {
-			append.records()
-				.stream()
-				.filter((record) -> record.kind() == Kind.CLAIM)
-				.flatMap((record) -> this.attempts.find(record).stream())
-				.forEach((attempt) -> attempt.phase(Phase.APPENDED));
+			appended(append.records());
 			outbox.add(append);
 		});
 	}
 
+	private void handOver(long now, Outbox outbox) {
+		if (this.fresh.isEmpty()) {
+			return;
+		}
+		List<ClaimRecord> statements = List.copyOf(this.fresh);
+		this.fresh.clear();
+		Optional<VmId> other = this.handOver.writer(now);
+		if (other.isEmpty()) {
+			statements.forEach(this.writer::add);
+			return;
+		}
+		appended(statements);
+		this.handOver.handed(now, other.get(), statements);
+		outbox.add(new Effect.ToPeer(other.get(), new PeerMessage.ClaimHandOver(statements)));
+	}
+
+	private void appended(List<ClaimRecord> statements) {
+		statements.stream()
+			.filter((record) -> record.kind() == Kind.CLAIM)
+			.flatMap((record) -> this.attempts.find(record).stream())
+			.filter((attempt) -> attempt.phase() == Phase.QUEUED)
+			.forEach((attempt) -> attempt.phase(Phase.APPENDED));
+	}
+
+	/**
+	 * Takes the routers of this data centre, of which one appends the statements of all.
+	 * @param now the router's clock reading in milliseconds
+	 * @param routers the routers, the one to be asked first at the front
+	 * @param outbox takes the effects
+	 */
+	public void writers(long now, List<VmId> routers, Outbox outbox) {
+		this.handOver.order(routers);
+		append(now, outbox);
+	}
+
+	/**
+	 * Notes that a router was silent for too long, so that it appends nothing for others.
+	 * @param now the router's clock reading in milliseconds
+	 * @param vm the VM of the router
+	 * @param outbox takes the effects
+	 */
+	public void peerLost(long now, VmId vm, Outbox outbox) {
+		this.handOver.lost(now, vm).forEach(this.writer::add);
+		append(now, outbox);
+	}
+
+	/**
+	 * Notes that this process is about to stop. What it was handed by other routers is
+	 * still appended, and nothing further is taken from them.
+	 */
+	public void stopping() {
+		this.stopping = true;
+	}
+
 	/**
 	 * Returns whether a request may be sent at this moment.
 	 * @param request the request
@@ -291,7 +355,7 @@
 	private void end(Attempt attempt, ClaimRecord statement, Outbox outbox) {
 		this.attempts.settled(attempt);
 		attempt.end(statement);
-		this.writer.add(statement);
+		this.fresh.add(statement);
 		if (statement.kind() == Kind.UNKNOWN) {
 			outbox.add(new Effect.Note(LogEvent.CLAIM_UNKNOWN, statement.claimId()));
 		}
@@ -326,7 +390,9 @@
 	}
 
 	private void withdraw(long now, Attempt attempt, Outbox outbox) {
+		this.fresh.remove(attempt.claim());
 		this.writer.withdraw(attempt.claim());
+		this.handOver.withdraw(attempt.claim());
 		if (this.table.holds(attempt.claim())) {
 			end(attempt, attempt.claim().ended(Kind.RELEASE, Optional.empty()), outbox);
 			return;
@@ -359,6 +425,7 @@
 			this.wallClock.claimed(now, record);
 			this.holders.seen(record.holder());
 		}
+		this.handOver.read(record);
 		this.table.apply(record, live ? this.wallClock.at(now) : this.wallClock.latestClaim());
 		switch (record.kind()) {
 			case CLAIM -> claimed(now, record, outbox);
@@ -371,7 +438,7 @@
 		Attempt attempt = this.attempts.find(record).orElse(null);
 		if (attempt == null) {
 			if (record.holder().equals(this.self) && this.table.holds(record)) {
-				this.writer.add(record.ended(Kind.RELEASE, Optional.empty()));
+				this.fresh.add(record.ended(Kind.RELEASE, Optional.empty()));
 			}
 		}
 		else if (attempt.phase() == Phase.APPENDED && attempt.claim().equals(record)) {
@@ -480,6 +547,21 @@
 				.filter((record) -> record.holder().equals(from))
 				.forEach((record) -> concludeAll(record, outbox));
 		}
+		else if (message instanceof PeerMessage.ClaimHandOver handed) {
+			relay(now, from, handed.statements(), outbox);
+		}
+		else if (message instanceof PeerMessage.ClaimsDeclined declined) {
+			this.handOver.declined(now, from.vm(), declined.claimIds()).forEach(this.writer::add);
+		}
+		append(now, outbox);
+	}
+
+	private void relay(long now, Incarnation from, List<ClaimRecord> statements, Outbox outbox) {
+		boolean taken = !this.stopping && this.progress.reachable() && this.writer.relay(now, statements);
+		if (!taken) {
+			List<String> claimIds = statements.stream().map(ClaimRecord::claimId).distinct().toList();
+			outbox.add(new Effect.ToPeer(from.vm(), new PeerMessage.ClaimsDeclined(claimIds)));
+		}
 	}
 
 	private PeerMessage.ClaimStatus status(String claimId) {
@@ -501,7 +583,12 @@
 	 * @param outbox takes the effects
 	 */
 	public void incarnationSeen(long now, Incarnation process, Outbox outbox) {
-		if (this.holders.heard(process)) {
+		boolean news = this.holders.heard(process);
+		if (news) {
+			this.handOver.lost(now, process.vm()).forEach(this.writer::add);
+		}
+		this.handOver.heard(process.vm());
+		if (news) {
 			concludeEnded(outbox);
 			append(now, outbox);
 		}
@@ -515,6 +602,7 @@
 	 */
 	public void vmLeft(long now, VmId vm, Outbox outbox) {
 		this.holders.left(vm);
+		this.handOver.lost(now, vm).forEach(this.writer::add);
 		concludeEnded(outbox);
 		append(now, outbox);
 	}
@@ -539,6 +627,7 @@
 		this.progress.judge(now);
 		overdue(now, outbox);
 		expire(now, outbox);
+		this.handOver.overdue(now).forEach(this.writer::add);
 		concludeEnded(outbox);
 		this.waiters.removeOlder(now - this.settings.joinMillis())
 			.forEach((repeat) -> this.answers.refuse(repeat.id(), RefusalReason.KEY_IN_USE, Outcome.UNKNOWN, outbox));
@@ -582,8 +671,10 @@
 	 */
 	public void resumed(long now, Outbox outbox) {
 		expire(now, outbox);
+		this.writer.forgetRelayed();
+		this.handOver.recall().forEach(this.writer::add);
 		for (Attempt attempt : this.attempts.all()) {
-			if (attempt.phase() == Phase.APPENDED) {
+			if (attempt.phase() == Phase.QUEUED || attempt.phase() == Phase.APPENDED) {
 				attempt.expire();
 			}
 			else if (attempt.phase() == Phase.HELD) {
@@ -650,11 +741,12 @@
 	}
 
 	/**
-	 * Returns the number of statements that wait to be appended.
+	 * Returns the number of statements that wait to be appended, by this process or for
+	 * it.
 	 * @return the number
 	 */
 	public int backlog() {
-		return this.writer.backlog();
+		return this.fresh.size() + this.writer.backlog() + this.handOver.size();
 	}
 
 }
--- a/ebonyford/src/main/java/org/ebonyford/message/PeerMessage.java
+++ b/ebonyford/src/main/java/org/ebonyford/message/PeerMessage.java
@@ -210,8 +210,7 @@
 	}
 
 	/**
-	 * Answers what became of a claim, or asks the receiver to append statements for the
-	 * sender.
+	 * Answers what became of a claim.
 	 *
 	 * @param claimId the name of the claim
 	 * @param running whether the request still runs at the sender
@@ -228,4 +227,37 @@
 
 	}
 
+	/**
+	 * Asks the receiver to append statements to the claims stream together with its own.
+	 * The sender reads in the log whether that was done.
+	 *
+	 * @param statements the statements
+	 */
+	record ClaimHandOver(List<ClaimRecord> statements) implements PeerMessage {
+
+		/**
+		 * Creates a message.
+		 */
+		public ClaimHandOver {
+			statements = List.copyOf(statements);
+		}
+
+	}
+
+	/**
+	 * Tells that the sender appends none of the statements that it was handed last.
+	 *
+	 * @param claimIds the names of the claims that the statements are about
+	 */
+	record ClaimsDeclined(List<String> claimIds) implements PeerMessage {
+
+		/**
+		 * Creates a message.
+		 */
+		public ClaimsDeclined {
+			claimIds = List.copyOf(claimIds);
+		}
+
+	}
+
 }
--- a/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
+++ b/ebonyford/src/main/java/org/ebonyford/reducer/Reducer.java
@@ -17,6 +17,7 @@
 import org.ebonyford.admission.Admission;
 import org.ebonyford.claim.ClaimListener;
 import org.ebonyford.claim.Claims;
+import org.ebonyford.claim.WriterOrder;
 import org.ebonyford.configuration.Configuration;
 import org.ebonyford.configuration.ConfigurationReader;
 import org.ebonyford.configuration.Upstream;
@@ -290,6 +291,7 @@
 		else if (event instanceof Event.StopRequested stop) {
 			this.lifecycle.stop(stop.at(), this.outbox);
 			this.dispatch.stopping(stop.at(), this.outbox);
+			this.claims.stopping();
 		}
 	}
 
@@ -303,8 +305,7 @@
 			resumed(now);
 		}
 		Knowledge knowledge = knowledge();
-		this.peers.tick(now, knowledge, this.lifecycle.stopping(), this.outbox)
-			.forEach((vm) -> this.dispatch.peerLost(now, vm, this.outbox));
+		this.peers.tick(now, knowledge, this.lifecycle.stopping(), this.outbox).forEach((vm) -> peerLost(now, vm));
 		this.dispatch.tick(now, this.outbox);
 		this.claims.tick(now, tick.epochMillis(), this.outbox);
 		this.suspects.tick(now, this.outbox);
@@ -320,6 +321,11 @@
 		this.lifecycle.tick(now, idle, this.outbox);
 	}
 
+	private void peerLost(long now, VmId vm) {
+		this.dispatch.peerLost(now, vm, this.outbox);
+		this.claims.peerLost(now, vm, this.outbox);
+	}
+
 	private void resumed(long now) {
 		this.outbox.add(new Effect.Note(LogEvent.PAUSED, ""));
 		this.peers.resumed(now);
@@ -523,7 +529,7 @@
 		if (message instanceof PeerMessage.Crash crash) {
 			this.suspects.received(event.at(), event.from(), crash);
 		}
-		else if (message instanceof PeerMessage.ClaimQuery || message instanceof PeerMessage.ClaimStatus) {
+		else if (concernsClaims(message)) {
 			this.claims.received(event.at(), event.from(), message, this.outbox);
 		}
 		else {
@@ -534,6 +540,11 @@
 		}
 	}
 
+	private static boolean concernsClaims(PeerMessage message) {
+		return message instanceof PeerMessage.ClaimQuery || message instanceof PeerMessage.ClaimStatus
+				|| message instanceof PeerMessage.ClaimHandOver || message instanceof PeerMessage.ClaimsDeclined;
+	}
+
 	private void compare(VmId from, Knowledge theirs) {
 		Knowledge ours = knowledge();
 		if (theirs.exceeds(ours)) {
@@ -572,9 +583,19 @@
 		before.stream()
 			.filter((vm) -> !addresses.containsKey(vm))
 			.forEach((vm) -> this.claims.vmLeft(now, vm, this.outbox));
+		this.claims.writers(now, claimWriters(), this.outbox);
 		rebuild(now);
 	}
 
+	private List<VmId> claimWriters() {
+		DataCentreId dataCentre = this.topologies.dataCentre();
+		List<VmId> routers = this.members.vms()
+			.stream()
+			.filter((vm) -> this.members.live(vm) && this.members.dataCentre(vm).equals(Optional.of(dataCentre)))
+			.toList();
+		return WriterOrder.ForRendezvousHash.INSTANCE.of(dataCentre, routers);
+	}
+
 	private void controlChanged(long now, boolean changed) {
 		if (!changed) {
 			return;
--- a/ebonyford/src/test/java/org/ebonyford/claim/ClaimFleet.java
+++ b/ebonyford/src/test/java/org/ebonyford/claim/ClaimFleet.java
@@ -29,7 +29,7 @@
 final class ClaimFleet {
 
 	static final ClaimSettings SETTINGS = new ClaimSettings(60_000, 2_000, 20_000, 1_000, 1_000, 50, 20, 65_536, 300,
-			20, 100, 2_000, 100, 10_000, 10_000, 100, 1_000_000);
+			20, 100, 100, 2_000, 100, 10_000, 10_000, 100, 1_000_000);
 
 	private static final long MAX_LATE_MILLIS = 1_000;
 
