--- a/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerCodec.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerCodec.java
@@ -101,6 +101,9 @@
 		else if (message instanceof PeerMessage.ClaimStatus status) {
 			envelope.setClaimStatus(encode(status));
 		}
+		else {
+			ClaimMessages.encode(envelope, message);
+		}
 	}
 
 	private static Heartbeat encode(PeerMessage.Heartbeat heartbeat) {
@@ -219,7 +222,12 @@
 		return builder.build();
 	}
 
-	private static ClaimStatus.Statement encode(ClaimRecord record) {
+	/**
+	 * Translates a statement to its wire form.
+	 * @param record the statement
+	 * @return the wire form
+	 */
+	static ClaimStatus.Statement encode(ClaimRecord record) {
 		ClaimStatus.Statement.Builder builder = ClaimStatus.Statement.newBuilder()
 			.setKind(ClaimStatus.Kind.valueOf(record.kind().name()))
 			.setClaimId(record.claimId())
@@ -267,7 +275,7 @@
 			case CRASH -> decode(envelope.getCrash());
 			case CLAIM_QUERY -> new PeerMessage.ClaimQuery(envelope.getClaimQuery().getClaimId());
 			case CLAIM_STATUS -> decode(envelope.getClaimStatus());
-			case BODY_NOT_SET -> null;
+			case BODY_NOT_SET -> ClaimMessages.decode(envelope).orElse(null);
 		};
 		return Optional.ofNullable(message);
 	}
@@ -355,7 +363,13 @@
 				status.getRecordList().stream().map(PeerCodec::decode).toList());
 	}
 
-	private static ClaimRecord decode(ClaimStatus.Statement statement) {
+	/**
+	 * Translates a statement from its wire form.
+	 * @param statement the wire form
+	 * @return the statement
+	 * @throws IllegalArgumentException if the statement is malformed
+	 */
+	static ClaimRecord decode(ClaimStatus.Statement statement) {
 		Optional<StoredAnswer> answer = statement.hasAnswer()
 				? Optional.of(new StoredAnswer(statement.getAnswer().getStatus(),
 						statement.getAnswer().getContentType(), statement.getAnswer().getBody()))
--- a/ebonyford-router/src/test/java/org/ebonyford/router/peer/PeerCodecTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/peer/PeerCodecTest.java
@@ -58,7 +58,9 @@
 				{ new PeerMessage.Service(SELF, POOL, List.of(new PeerMessage.Service.Row(ACME, 1, 2, 3, true))) },
 				{ new PeerMessage.Fetch(-1, 5) }, { new PeerMessage.Control(state) }, { new PeerMessage.Members(list) },
 				{ new PeerMessage.Crash(new Fingerprint("f"), UPSTREAM, 1, 2) }, { new PeerMessage.ClaimQuery("c") },
-				{ new PeerMessage.ClaimStatus("c", false, List.of(record)) } };
+				{ new PeerMessage.ClaimStatus("c", false, List.of(record)) },
+				{ new PeerMessage.ClaimHandOver(List.of(record, record.renewed(5))) },
+				{ new PeerMessage.ClaimsDeclined(List.of("c", "d")) } };
 	}
 
 	@Test(dataProvider = "messages")
