--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/claim/ClaimCost.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/claim/ClaimCost.java
@@ -15,10 +15,12 @@
 import org.ebonyford.claim.ClaimSettings;
 import org.ebonyford.claim.ClaimTable;
 import org.ebonyford.claim.Claims;
+import org.ebonyford.claim.WriterOrder;
 import org.ebonyford.effect.Effect;
 import org.ebonyford.effect.Outbox;
 import org.ebonyford.event.Event;
 import org.ebonyford.event.Event.AppendEnded.Result;
+import org.ebonyford.identity.DataCentreId;
 import org.ebonyford.identity.Fingerprint;
 import org.ebonyford.identity.IdempotencyKey;
 import org.ebonyford.identity.Incarnation;
@@ -27,6 +29,7 @@
 import org.ebonyford.identity.RequestClass;
 import org.ebonyford.identity.RequestId;
 import org.ebonyford.identity.VmId;
+import org.ebonyford.message.PeerMessage;
 import org.ebonyford.request.Ending;
 import org.ebonyford.request.Request;
 import org.ebonyford.request.StoredAnswer;
@@ -59,6 +62,16 @@
 	 */
 	private static final long RETURN_MILLIS = 2;
 
+	/**
+	 * The milliseconds that a message takes from one router to another.
+	 */
+	private static final long MESSAGE_MILLIS = 1;
+
+	/**
+	 * The data centre of all routers.
+	 */
+	private static final DataCentreId DATA_CENTRE = new DataCentreId("kz-south-a");
+
 	/**
 	 * The milliseconds that a request runs.
 	 */
@@ -108,22 +121,31 @@
 	 * @param arguments unused
 	 */
 	public static void main(String[] arguments) {
-		System.out.println("routers  claims/s each  batch ms  appends/s each  claims/append  added p50 ms  p99 ms  "
-				+ "processor us/claim");
+		System.out.println(
+				"writers       routers  claims/s each  batch ms  appends/s all   claims/append  added p50 ms  p99 ms  "
+						+ "processor us/claim");
 		for (long batchMillis : new long[] { 1, 20, 50, 100 }) {
 			for (int rate : new int[] { 5, 20, 100, 1_000 }) {
-				new ClaimCost().run(3, rate, batchMillis);
+				new ClaimCost().run(WriterOrder.Disabled.INSTANCE, 3, rate, batchMillis);
 			}
 		}
-		new ClaimCost().run(7, 300, ClaimSettings.DEFAULT.batchMillis());
+		long standard = ClaimSettings.DEFAULT.batchMillis();
+		for (WriterOrder order : List.of(WriterOrder.Disabled.INSTANCE, WriterOrder.ForRendezvousHash.INSTANCE)) {
+			new ClaimCost().run(order, 2, 15, standard);
+			new ClaimCost().run(order, 2, 45, standard);
+			new ClaimCost().run(order, 7, 300, standard);
+			new ClaimCost().run(order, 49, 13, standard);
+		}
 		memory();
 	}
 
-	private void run(int count, int rate, long batchMillis) {
+	private void run(WriterOrder order, int count, int rate, long batchMillis) {
 		ClaimSettings settings = settings(batchMillis);
 		for (int index = 0; index < count; index++) {
 			this.routers.add(new Router(index, settings));
 		}
+		List<VmId> writers = order.of(DATA_CENTRE, this.routers.stream().map((router) -> router.self.vm()).toList());
+		this.routers.forEach((router) -> router.claims.writers(0, writers, router.outbox));
 		Random random = new Random(1);
 		for (Router router : this.routers) {
 			router.read(List.of());
@@ -143,7 +165,7 @@
 			this.now = next.at();
 			next.action().run();
 		}
-		print(count, rate, batchMillis, System.nanoTime() - start);
+		print(writers.isEmpty() ? "each" : "one", count, rate, batchMillis, System.nanoTime() - start);
 	}
 
 	private static ClaimSettings settings(long batchMillis) {
@@ -155,11 +177,11 @@
 				10 * base.maxKeys(), base.maxWaiting(), base.maxAnswerCharacters());
 	}
 
-	private void print(int count, int rate, long batchMillis, long nanos) {
+	private void print(String writers, int count, int rate, long batchMillis, long nanos) {
 		long[] sorted = this.waits.stream().mapToLong(Long::longValue).sorted().toArray();
 		double appends = this.routers.stream().mapToLong((router) -> router.claims.appends()).sum();
-		System.out.printf("%7d  %13d  %8d  %14.1f  %13.1f  %12d  %6d  %18.1f%n", count, rate, batchMillis,
-				appends * 1_000 / DURATION_MILLIS / count, sorted.length / appends, percentile(sorted, 50),
+		System.out.printf("%7s  %11d  %13d  %8d  %14.1f  %13.1f  %12d  %6d  %18.1f%n", writers, count, rate,
+				batchMillis, appends * 1_000 / DURATION_MILLIS, sorted.length / appends, percentile(sorted, 50),
 				percentile(sorted, 99), nanos / 1e3 / sorted.length);
 	}
 
@@ -179,6 +201,12 @@
 		});
 	}
 
+	private void deliver(Router from, Effect.ToPeer message) {
+		this.routers.stream()
+			.filter((router) -> router.self.vm().equals(message.to()))
+			.forEach((router) -> at(this.now + MESSAGE_MILLIS, () -> router.received(from.self, message.message())));
+	}
+
 	private static void memory() {
 		ClaimTable table = new ClaimTable(Long.MAX_VALUE / 2, ClaimSettings.DEFAULT.maxAnswerCharacters());
 		long before = used();
@@ -227,6 +255,11 @@
 		 */
 		private final String name;
 
+		/**
+		 * The process of the router.
+		 */
+		private final Incarnation self;
+
 		/**
 		 * The claims of the router.
 		 */
@@ -244,7 +277,8 @@
 
 		private Router(int index, ClaimSettings settings) {
 			this.name = "kz-south-a-entry-" + index;
-			this.claims = new Claims(settings, new Incarnation(new VmId(this.name), 1), this);
+			this.self = new Incarnation(new VmId(this.name), 1);
+			this.claims = new Claims(settings, this.self, this);
 		}
 
 		private void begin(int number) {
@@ -270,6 +304,11 @@
 			drain();
 		}
 
+		private void received(Incarnation from, PeerMessage message) {
+			this.claims.received(ClaimCost.this.now, from, message, this.outbox);
+			drain();
+		}
+
 		private void appended(long append) {
 			this.claims.appendEnded(ClaimCost.this.now, append, Result.APPENDED, this.outbox);
 			drain();
@@ -286,6 +325,9 @@
 				if (effect instanceof Effect.AppendClaims append) {
 					append(this, append);
 				}
+				else if (effect instanceof Effect.ToPeer message) {
+					deliver(this, message);
+				}
 			}
 		}
 
