Keep a doubt of a writer when an earlier statement is read late

Cause: a statement that was handed over just before the doubt began and was read during it ended the doubt, so that a writer that is too slow was asked again at once and each claim paid 250 ms once more.

Change: only what is read while the writer is not passed over makes its next failure the first. HandOverTest: the test that a read statement ends the doubt at once stated the fault; two stricter ones take its place, and one is new.

--- a/ebonyford/src/main/java/org/ebonyford/claim/Claims.java
+++ b/ebonyford/src/main/java/org/ebonyford/claim/Claims.java
@@ -425,7 +425,7 @@
 			this.wallClock.claimed(now, record);
 			this.holders.seen(record.holder());
 		}
-		this.handOver.read(record);
+		this.handOver.read(now, record);
 		this.table.apply(record, live ? this.wallClock.at(now) : this.wallClock.latestClaim());
 		switch (record.kind()) {
 			case CLAIM -> claimed(now, record, outbox);
--- a/ebonyford/src/main/java/org/ebonyford/claim/HandOver.java
+++ b/ebonyford/src/main/java/org/ebonyford/claim/HandOver.java
@@ -101,13 +101,14 @@
 	}
 
 	/**
-	 * Notes that a statement was read in the log, which ends a doubt of the router that
-	 * was asked to append it.
+	 * Notes that a statement was read in the log. If the router that was asked to append
+	 * it is not passed over at this moment, its next failure counts as the first.
+	 * @param now the clock reading in milliseconds
 	 * @param statement the statement
 	 */
-	void read(ClaimRecord statement) {
+	void read(long now, ClaimRecord statement) {
 		Handed handed = this.outstanding.remove(statement);
-		if (handed != null) {
+		if (handed != null && !doubted(now, handed.writer())) {
 			this.doubts.remove(handed.writer());
 		}
 	}
--- a/ebonyford/src/test/java/org/ebonyford/claim/HandOverTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/claim/HandOverTest.java
@@ -66,14 +66,31 @@
 	}
 
 	@Test
-	public void testStatementThatIsReadEndsTheDoubt() {
+	public void testStatementThatIsReadAfterTheDoubtMakesTheNextFailureTheFirst() {
 		fail(0);
+		this.handOver.handed(1_000, FIRST, List.of(CLAIM));
+		this.handOver.read(1_000, CLAIM);
+		fail(1_000);
+		assertEquals(this.handOver.writer(2_000), Optional.of(FIRST));
+	}
+
+	@Test
+	public void testStatementThatIsReadLateDoesNotEndTheDoubt() {
 		this.handOver.handed(0, FIRST, List.of(CLAIM));
-		this.handOver.read(CLAIM);
-		assertEquals(this.handOver.writer(0), Optional.of(FIRST));
+		this.handOver.handed(100, FIRST, List.of(CLAIM.renewed(8)));
+		this.handOver.overdue(LIMIT);
+		this.handOver.read(LIMIT + 1, CLAIM.renewed(8));
+		assertEquals(this.handOver.writer(LIMIT + 1), Optional.empty());
 		assertEquals(this.handOver.size(), 0);
 	}
 
+	@Test
+	public void testRouterThatIsHeardOfAnewIsAskedAgain() {
+		fail(0);
+		this.handOver.heard(FIRST);
+		assertEquals(this.handOver.writer(0), Optional.of(FIRST));
+	}
+
 	@Test
 	public void testDeclinedStatementsComeBackAndOthersDoNot() {
 		ClaimRecord other = new ClaimRecord(Kind.CLAIM, "b-1-1", CLAIM.organisation(), CLAIM.key(), CLAIM.fingerprint(),
