Send what goes between routers in frames deflated against the stream

Compression never took effect: the link marked messages of 160 bytes or more as compressed, but no call ever chose a compressor, so that gRPC sent all of them as they were.

Ruled out: probes by which gRPC sizes its window.

Change: the messages of one event to one peer go out as one frame, deflated with the last 8 KiB of the same stream as the dictionary. Streams keep order, so both ends have the same bytes; a new stream begins with none. One deflater serves all links, so that a link costs 8 KiB at each end and not the 300 KB of a deflater and an inflater. No index of names has to be agreed, and the meaning of no message changes.

Tests: PeerLinksTest hands messages over with a flush after each, as the loop now does, and gets one more case for several before a flush; nothing in it is weaker.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/EffectHandler.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/EffectHandler.java
@@ -1,7 +1,9 @@
 package org.ebonyford.router;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 
 import org.ebonyford.effect.Effect;
 
@@ -17,6 +19,13 @@
 	 */
 	void handle(Effect effect);
 
+	/**
+	 * Takes in that all effects of an event were handed over, so that what was gathered
+	 * of them can go out together.
+	 */
+	default void flush() {
+	}
+
 	/**
 	 * A handler that hands each kind of effect to the handler that was set for it.
 	 */
@@ -27,6 +36,11 @@
 		 */
 		private final Map<Class<? extends Effect>, EffectHandler> handlers = new HashMap<>();
 
+		/**
+		 * The handlers, each once.
+		 */
+		private final Set<EffectHandler> distinct = new LinkedHashSet<>();
+
 		/**
 		 * Sets the handler of a kind of effect.
 		 * @param kind the kind
@@ -35,6 +49,7 @@
 		 */
 		public Compound on(Class<? extends Effect> kind, EffectHandler handler) {
 			this.handlers.put(kind, handler);
+			this.distinct.add(handler);
 			return this;
 		}
 
@@ -52,6 +67,11 @@
 			handler.handle(effect);
 		}
 
+		@Override
+		public void flush() {
+			this.distinct.forEach(EffectHandler::flush);
+		}
+
 	}
 
 }
--- a/ebonyford-router/src/main/java/org/ebonyford/router/loop/EventLoop.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/loop/EventLoop.java
@@ -173,6 +173,7 @@
 		for (Effect effect : effects) {
 			carryOut(effect);
 		}
+		this.handler.flush();
 	}
 
 	private void carryOut(Effect effect) {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerLink.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerLink.java
@@ -1,19 +1,23 @@
 package org.ebonyford.router.peer;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.zip.Deflater;
 
 import javax.net.ssl.SSLException;
 
+import io.grpc.CallOptions;
 import io.grpc.ManagedChannel;
 import io.grpc.netty.shaded.io.grpc.netty.GrpcSslContexts;
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
 import io.grpc.netty.shaded.io.netty.handler.ssl.SslContext;
 import io.grpc.stub.ClientCallStreamObserver;
+import io.grpc.stub.ClientCalls;
 import io.grpc.stub.ClientResponseObserver;
 
 import org.ebonyford.router.generated.Envelope;
-import org.ebonyford.router.generated.PeerGrpc;
 import org.ebonyford.router.generated.Receipt;
 
 /**
@@ -23,12 +27,7 @@
 final class PeerLink implements AutoCloseable {
 
 	/**
-	 * The bytes from which a message is compressed.
-	 */
-	private static final int MIN_COMPRESSED_BYTES = 160;
-
-	/**
-	 * /** The host and port that the link leads to.
+	 * The host and port that the link leads to.
 	 */
 	private final String address;
 
@@ -42,6 +41,16 @@
 	 */
 	private final PeerTraffic traffic;
 
+	/**
+	 * Deflates what is sent.
+	 */
+	private final Deflater deflater;
+
+	/**
+	 * The messages that go out together next.
+	 */
+	private final List<Envelope> gathered = new ArrayList<>();
+
 	/**
 	 * The channel that the link's streams use.
 	 */
@@ -57,11 +66,13 @@
 	 * @param address the host and port that the link leads to
 	 * @param settings the settings
 	 * @param traffic counts what is sent
+	 * @param deflater deflates what is sent, which all links of one thread share
 	 */
-	PeerLink(String address, PeerSettings settings, PeerTraffic traffic) {
+	PeerLink(String address, PeerSettings settings, PeerTraffic traffic, Deflater deflater) {
 		this.address = address;
 		this.settings = settings;
 		this.traffic = traffic;
+		this.deflater = deflater;
 		this.channel = open(address, settings);
 	}
 
@@ -99,18 +110,37 @@
 	}
 
 	/**
-	 * Sends a message, or gives it up if the link is down.
+	 * Takes a message that goes out with the next flush.
 	 * @param envelope the message
 	 */
-	void send(Envelope envelope) {
+	void add(Envelope envelope) {
+		this.gathered.add(envelope);
+	}
+
+	/**
+	 * Sends the messages that were taken since the last flush, or gives them up if the
+	 * link is down.
+	 */
+	void flush() {
+		if (this.gathered.isEmpty()) {
+			return;
+		}
 		Outbound present = this.stream;
 		if (present == null || present.broken) {
-			present = new Outbound();
-			PeerGrpc.newStub(this.channel).withCallCredentials(new SharedSecret(this.settings.secret(), () -> {
-			})).deliver(present);
+			present = open();
 			this.stream = present;
 		}
-		present.send(envelope);
+		present.send(this.gathered);
+		this.gathered.clear();
+	}
+
+	private Outbound open() {
+		Outbound opened = new Outbound();
+		SharedSecret credentials = new SharedSecret(this.settings.secret(), () -> {
+		});
+		CallOptions options = CallOptions.DEFAULT.withCallCredentials(credentials);
+		ClientCalls.asyncClientStreamingCall(this.channel.newCall(FrameMethod.DELIVER, options), opened);
+		return opened;
 	}
 
 	@Override
@@ -121,17 +151,22 @@
 	/**
 	 * One stream of messages to the other router.
 	 */
-	private final class Outbound implements ClientResponseObserver<Envelope, Receipt> {
+	private final class Outbound implements ClientResponseObserver<byte[], Receipt> {
 
 		/**
 		 * The messages that were handed over while the stream could not take them.
 		 */
 		private final AtomicInteger unsent = new AtomicInteger();
 
+		/**
+		 * Packs the messages.
+		 */
+		private final FrameWriter writer = new FrameWriter(PeerLink.this.deflater);
+
 		/**
 		 * The sending half of the stream.
 		 */
-		private ClientCallStreamObserver<Envelope> requests;
+		private ClientCallStreamObserver<byte[]> requests;
 
 		/**
 		 * Whether the stream broke.
@@ -139,20 +174,22 @@
 		private volatile boolean broken;
 
 		@Override
-		public void beforeStart(ClientCallStreamObserver<Envelope> stream) {
+		public void beforeStart(ClientCallStreamObserver<byte[]> stream) {
 			this.requests = stream;
 			stream.setOnReadyHandler(() -> this.unsent.set(0));
 		}
 
-		private void send(Envelope envelope) {
-			if (!this.requests.isReady() && this.unsent.incrementAndGet() > PeerLink.this.settings.maxUnsent()) {
-				PeerLink.this.traffic.dropped();
+		private void send(List<Envelope> envelopes) {
+			int waiting = this.requests.isReady() ? 0 : this.unsent.addAndGet(envelopes.size());
+			if (waiting > PeerLink.this.settings.maxUnsent()) {
+				envelopes.forEach((envelope) -> PeerLink.this.traffic.dropped());
 				abandon();
 				return;
 			}
-			PeerLink.this.traffic.sent(envelope);
-			this.requests.setMessageCompression(envelope.getSerializedSize() >= MIN_COMPRESSED_BYTES);
-			this.requests.onNext(envelope);
+			envelopes.forEach(PeerLink.this.traffic::sent);
+			byte[] frame = this.writer.write(envelopes);
+			PeerLink.this.traffic.framed(frame.length);
+			this.requests.onNext(frame);
 		}
 
 		private void abandon() {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerLinks.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerLinks.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.zip.Deflater;
 
 import com.codahale.metrics.MetricRegistry;
 
@@ -32,6 +33,11 @@
 	 */
 	private final PeerTraffic traffic;
 
+	/**
+	 * Deflates what is sent.
+	 */
+	private final Deflater deflater = new Deflater(Deflater.DEFAULT_COMPRESSION, true);
+
 	/**
 	 * The links by the VM that they lead to.
 	 */
@@ -59,6 +65,11 @@
 		}
 	}
 
+	@Override
+	public void flush() {
+		this.links.values().forEach(PeerLink::flush);
+	}
+
 	private void send(Effect.ToPeer message) {
 		PeerLink link = this.links.get(message.to());
 		if (link == null) {
@@ -66,7 +77,7 @@
 			return;
 		}
 		Envelope envelope = PeerCodec.encode(this.self, message.message());
-		link.send(envelope);
+		link.add(envelope);
 	}
 
 	private void connect(Map<VmId, String> addresses) {
@@ -79,13 +90,14 @@
 			}
 		}
 		addresses.forEach((vm, address) -> this.links.computeIfAbsent(vm,
-				(absent) -> new PeerLink(address, this.settings, this.traffic)));
+				(absent) -> new PeerLink(address, this.settings, this.traffic, this.deflater)));
 	}
 
 	@Override
 	public void close() {
 		this.links.values().forEach(PeerLink::close);
 		this.links.clear();
+		this.deflater.end();
 	}
 
 }
--- a/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerServer.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerServer.java
@@ -7,10 +7,13 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import io.grpc.Server;
+import io.grpc.ServerServiceDefinition;
+import io.grpc.Status;
 import io.grpc.netty.shaded.io.grpc.netty.GrpcSslContexts;
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
 import io.grpc.netty.shaded.io.netty.handler.ssl.ClientAuth;
 import io.grpc.netty.shaded.io.netty.handler.ssl.SslContext;
+import io.grpc.stub.ServerCalls;
 import io.grpc.stub.StreamObserver;
 
 import org.ebonyford.event.Event;
@@ -96,7 +99,7 @@
 			.intercept(new SharedSecret(this.settings.secret(),
 					() -> logger.atWarning()
 						.log("%s %s", LogEvent.PEER_REJECTED.code(), LogEvent.PEER_REJECTED.meaning())))
-			.addService(new Inbox());
+			.addService(inbox());
 		if (this.settings.identity().isPresent()) {
 			builder.sslContext(sslContext(this.settings.identity().get()));
 		}
@@ -118,32 +121,50 @@
 		}
 	}
 
+	private ServerServiceDefinition inbox() {
+		return ServerServiceDefinition.builder(PeerGrpc.SERVICE_NAME)
+			.addMethod(FrameMethod.DELIVER, ServerCalls.asyncClientStreamingCall(Inbox::new))
+			.build();
+	}
+
 	/**
-	 * Accepts the streams of other routers.
+	 * Receives one stream of another router.
 	 */
-	private final class Inbox extends PeerGrpc.PeerImplBase {
+	private final class Inbox implements StreamObserver<byte[]> {
+
+		/**
+		 * Takes the answer when the sender closes its stream.
+		 */
+		private final StreamObserver<Receipt> receipt;
+
+		/**
+		 * Unpacks the messages.
+		 */
+		private final FrameReader reader = new FrameReader(MAX_MESSAGE_BYTES);
+
+		Inbox(StreamObserver<Receipt> receipt) {
+			this.receipt = receipt;
+		}
+
+		@Override
+		public void onNext(byte[] frame) {
+			try {
+				this.reader.read(frame).forEach(this::receive);
+			}
+			catch (IOException ex) {
+				throw Status.DATA_LOSS.withDescription(ex.getMessage()).withCause(ex).asRuntimeException();
+			}
+		}
+
+		@Override
+		public void onError(Throwable ex) {
+			logger.atFine().withCause(ex).log("A peer's stream broke");
+		}
 
 		@Override
-		public StreamObserver<Envelope> deliver(StreamObserver<Receipt> receipt) {
-			return new StreamObserver<>() {
-
-				@Override
-				public void onNext(Envelope envelope) {
-					receive(envelope);
-				}
-
-				@Override
-				public void onError(Throwable ex) {
-					logger.atFine().withCause(ex).log("A peer's stream broke");
-				}
-
-				@Override
-				public void onCompleted() {
-					receipt.onNext(Receipt.getDefaultInstance());
-					receipt.onCompleted();
-				}
-
-			};
+		public void onCompleted() {
+			this.receipt.onNext(Receipt.getDefaultInstance());
+			this.receipt.onCompleted();
 		}
 
 		private void receive(Envelope envelope) {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerTraffic.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerTraffic.java
@@ -32,6 +32,15 @@
 		count("sent", envelope);
 	}
 
+	/**
+	 * Counts a frame of messages that was sent.
+	 * @param bytes the bytes of the frame
+	 */
+	void framed(int bytes) {
+		this.registry.counter("peer.sent.frames").inc();
+		this.registry.counter("peer.sent.frames.bytes").inc(bytes);
+	}
+
 	/**
 	 * Counts a message that was received.
 	 * @param envelope the message
--- a/ebonyford-router/src/test/java/org/ebonyford/router/peer/PeerLinksTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/peer/PeerLinksTest.java
@@ -53,10 +53,23 @@
 
 	@Test
 	public void testMessagesArriveInOrder() throws Exception {
+		try (PeerLinks links = links("secret")) {
+			for (int number = 0; number < 100; number++) {
+				send(links, new PeerMessage.ClaimQuery("c" + number));
+			}
+			for (int number = 0; number < 100; number++) {
+				assertEquals(next().message(), new PeerMessage.ClaimQuery("c" + number));
+			}
+		}
+	}
+
+	@Test
+	public void testMessagesHandedOverTogetherArriveInOrder() throws Exception {
 		try (PeerLinks links = links("secret")) {
 			for (int number = 0; number < 100; number++) {
 				links.handle(new Effect.ToPeer(OTHER, new PeerMessage.ClaimQuery("c" + number)));
 			}
+			links.flush();
 			for (int number = 0; number < 100; number++) {
 				assertEquals(next().message(), new PeerMessage.ClaimQuery("c" + number));
 			}
@@ -66,7 +79,7 @@
 	@Test
 	public void testSenderIsTold() throws Exception {
 		try (PeerLinks links = links("secret")) {
-			links.handle(new Effect.ToPeer(OTHER, new PeerMessage.Fetch(1, 2)));
+			send(links, new PeerMessage.Fetch(1, 2));
 			assertEquals(next().from(), SELF);
 		}
 	}
@@ -74,8 +87,8 @@
 	@Test
 	public void testWrongSecretIsRejected() throws Exception {
 		try (PeerLinks stranger = links("guess"); PeerLinks links = links("secret")) {
-			stranger.handle(new Effect.ToPeer(OTHER, new PeerMessage.Fetch(0, 0)));
-			links.handle(new Effect.ToPeer(OTHER, new PeerMessage.Fetch(1, 1)));
+			send(stranger, new PeerMessage.Fetch(0, 0));
+			send(links, new PeerMessage.Fetch(1, 1));
 			assertEquals(next().message(), new PeerMessage.Fetch(1, 1));
 			assertNull(this.received.poll(200, TimeUnit.MILLISECONDS));
 		}
@@ -84,7 +97,7 @@
 	@Test
 	public void testLinkIsOpenedAnewAfterItsPeerCameBack() throws Exception {
 		try (PeerLinks links = links("secret")) {
-			links.handle(new Effect.ToPeer(OTHER, new PeerMessage.Fetch(0, 0)));
+			send(links, new PeerMessage.Fetch(0, 0));
 			next();
 			this.server.close();
 			this.server = server(this.port);
@@ -92,13 +105,18 @@
 			Event event = null;
 			long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(GENEROUS_SECONDS);
 			while (event == null && System.nanoTime() < end) {
-				links.handle(new Effect.ToPeer(OTHER, new PeerMessage.Fetch(2, 2)));
+				send(links, new PeerMessage.Fetch(2, 2));
 				event = this.received.poll(50, TimeUnit.MILLISECONDS);
 			}
 			assertNotNull(event);
 		}
 	}
 
+	private static void send(PeerLinks links, PeerMessage message) {
+		links.handle(new Effect.ToPeer(OTHER, message));
+		links.flush();
+	}
+
 	private Event.MessageReceived next() throws InterruptedException {
 		return (Event.MessageReceived) this.received.poll(GENEROUS_SECONDS, TimeUnit.SECONDS);
 	}
