Take over the totals of processes that ended, so that their rows go

Cause: every process that ever charged an organisation left a row for each organisation and pool at every router for good.

Ruled out: dropping the rows at each router by its own clock, since the sums of routers then differ while some have dropped and others not, by other amounts for each organisation, and welcomes bring the rows back; raising lifts by what is dropped, since two routers that do so raise twice; a row for each VM in place of one for each process, since replaced VMs get new names.

Change: a process that was gone for 10 minutes (its VM off the list, or a later process on it) has its totals added to those of the first owner of the pool in the order of names, which tells so with a message without rows in the ended process's name, after its own rows. Whoever has heard it drops the rows and ignores any that come later; one number for each VM is kept for that. The owner repeats all its rows and these messages every 10 s for a minute, and every welcome carries them. A process that lives and was taken over (it was off the list for long) counts on in a new name. Owners that a change of the topology makes are now told all totals too; before, a router that became an owner knew only what came after.

Window: two routers with different lists that both take over the same process while they can't reach each other count its totals twice.

--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Announcements.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Announcements.java
@@ -5,6 +5,7 @@
 
 import org.ebonyford.effect.Effect;
 import org.ebonyford.effect.Outbox;
+import org.ebonyford.identity.Incarnation;
 import org.ebonyford.identity.VmId;
 import org.ebonyford.message.PeerMessage.Occupied;
 import org.ebonyford.message.PeerMessage.Service;
@@ -15,6 +16,16 @@
  */
 final class Announcements {
 
+	/**
+	 * How long this router repeats that it took over totals, in milliseconds.
+	 */
+	private static final long REPEAT_MILLIS = 60_000;
+
+	/**
+	 * The milliseconds between two repetitions.
+	 */
+	private static final long REPEAT_PERIOD_MILLIS = 10_000;
+
 	/**
 	 * The pools, the upstreams and the other routers.
 	 */
@@ -41,6 +52,16 @@
 	 */
 	private long gossipAt;
 
+	/**
+	 * The clock reading in milliseconds until which takeovers are repeated.
+	 */
+	private long repeatUntil = Long.MIN_VALUE;
+
+	/**
+	 * The clock reading in milliseconds at which takeovers are repeated next.
+	 */
+	private long repeatAt;
+
 	Announcements(Fleet fleet, Entry entry) {
 		this.fleet = fleet;
 		this.entry = entry;
@@ -60,7 +81,7 @@
 		}
 		if (now >= this.gossipAt) {
 			this.gossipAt = now + this.fleet.settings().times().gossip();
-			gossip(outbox);
+			gossip(now, outbox);
 			this.entry.age(now);
 		}
 		return (now >= this.confirmAt) ? occupied(now, outbox) : Optional.empty();
@@ -107,24 +128,52 @@
 	 * @param outbox takes the messages
 	 */
 	void welcome(VmId vm, Outbox outbox) {
-		for (PoolState pool : this.fleet.pools()) {
-			pool.ledger()
-				.rows()
-				.forEach((origin, rows) -> outbox
-					.add(new Effect.ToPeer(vm, new Service(origin, pool.pool().id(), rows))));
-		}
+		this.fleet.pools().forEach((pool) -> welcome(pool, vm, outbox));
 	}
 
-	private void gossip(Outbox outbox) {
+	/**
+	 * Tells a router all service of one pool that is known.
+	 * @param pool the pool
+	 * @param vm the VM of the router
+	 * @param outbox takes the messages
+	 */
+	void welcome(PoolState pool, VmId vm, Outbox outbox) {
+		pool.ledger().rows().forEach((origin, rows) -> tell(pool, vm, origin, rows, outbox));
+		pool.ledger().closed().forEach((origin) -> tell(pool, vm, origin, List.of(), outbox));
+	}
+
+	/**
+	 * Takes in that this router took over totals of ended processes. It tells so with the
+	 * next gossip and repeats it for a while, since messages may be lost.
+	 * @param now the clock reading in milliseconds
+	 */
+	void tookOver(long now) {
+		this.repeatUntil = now + REPEAT_MILLIS;
+		this.repeatAt = now;
+	}
+
+	private void gossip(long now, Outbox outbox) {
+		boolean repeat = now >= this.repeatAt && now <= this.repeatUntil;
+		if (repeat) {
+			this.repeatAt = now + REPEAT_PERIOD_MILLIS;
+		}
 		for (PoolState pool : this.fleet.pools()) {
-			List<Service.Row> rows = pool.ledger().drainChanges();
-			if (!rows.isEmpty()) {
-				Service service = new Service(this.fleet.self(), pool.pool().id(), rows);
-				pool.owners().forEach((peer) -> outbox.add(new Effect.ToPeer(peer, service)));
+			List<Service.Row> changes = pool.ledger().drainChanges();
+			List<Service.Row> rows = repeat ? pool.ledger().ownRows() : changes;
+			List<Incarnation> closed = repeat ? pool.ledger().closed() : List.of();
+			for (VmId peer : pool.owners()) {
+				if (!rows.isEmpty()) {
+					tell(pool, peer, pool.ledger().self(), rows, outbox);
+				}
+				closed.forEach((origin) -> tell(pool, peer, origin, List.of(), outbox));
 			}
 		}
 	}
 
+	private void tell(PoolState pool, VmId to, Incarnation origin, List<Service.Row> rows, Outbox outbox) {
+		outbox.add(new Effect.ToPeer(to, new Service(origin, pool.pool().id(), rows)));
+	}
+
 	private void send(long now, Fleet.ByVm<Occupied.Slot> slots, Outbox outbox) {
 		slots.forEach((owner, list) -> outbox.add(new Effect.ToPeer(owner, new Occupied(now, list))));
 	}
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Dispatch.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Dispatch.java
@@ -2,9 +2,11 @@
 
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.ebonyford.effect.Effect;
 import org.ebonyford.effect.Outbox;
@@ -54,6 +56,11 @@
 	 */
 	private final Map<VmId, Incarnation> seen = new HashMap<>();
 
+	/**
+	 * Notices which processes ended long ago.
+	 */
+	private final EndedProcesses endedProcesses = new EndedProcesses();
+
 	/**
 	 * The clock reading in milliseconds of the last call.
 	 */
@@ -83,7 +90,10 @@
 	 * @param outbox takes the effects
 	 */
 	public void topology(long now, Topology topology, Outbox outbox) {
+		Map<PoolState, Set<VmId>> former = new HashMap<>();
+		this.fleet.pools().forEach((pool) -> former.put(pool, Set.copyOf(pool.owners())));
 		List<Fleet.Moved> moved = this.fleet.apply(now, topology);
+		former.forEach((pool, owners) -> welcomeNew(pool, owners, outbox));
 		this.owner.refreshed();
 		this.announcements.moved(now, moved, outbox);
 		this.announcements.occupied(now, outbox).ifPresent((own) -> this.owner.occupied(now, self().vm(), own));
@@ -225,6 +235,7 @@
 		if (this.fleet.startedUp(now)) {
 			this.fleet.pools().stream().filter(PoolState::owned).forEach((pool) -> pool.ledger().informed());
 		}
+		takeOver(now);
 		this.announcements.tick(now, outbox).ifPresent((own) -> this.owner.occupied(now, self().vm(), own));
 		this.owner.tick(now);
 		this.entry.expire(now, outbox);
@@ -354,6 +365,44 @@
 		return backlog;
 	}
 
+	private void welcomeNew(PoolState pool, Set<VmId> former, Outbox outbox) {
+		if (!pool.owned()) {
+			return;
+		}
+		for (VmId owner : pool.owners()) {
+			if (!former.contains(owner)) {
+				this.announcements.welcome(pool, owner, outbox);
+			}
+		}
+	}
+
+	private void takeOver(long now) {
+		if (!this.fleet.startedUp(now) || !this.endedProcesses.due(now)) {
+			return;
+		}
+		Set<Incarnation> processes = new HashSet<>();
+		this.fleet.pools().forEach((pool) -> processes.addAll(pool.ledger().origins()));
+		Set<Incarnation> gone = this.endedProcesses.look(now, processes, this::gone);
+		for (PoolState pool : this.fleet.pools()) {
+			Set<Incarnation> taken = pool.ledger().origins();
+			taken.retainAll(gone);
+			if (!taken.isEmpty() && pool.first()) {
+				pool.ledger().takeOver(taken);
+				this.announcements.tookOver(now);
+			}
+		}
+	}
+
+	private boolean gone(Incarnation process) {
+		if (process.vm().equals(self().vm())) {
+			return process.number() < self().number();
+		}
+		Incarnation latest = this.seen.get(process.vm());
+		boolean replaced = latest != null && latest.number() > process.number();
+		return replaced
+				|| this.fleet.topology().filter((present) -> present.routers().contains(process.vm())).isEmpty();
+	}
+
 	private Incarnation self() {
 		return this.fleet.self();
 	}
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
@@ -1,6 +1,7 @@
 package org.ebonyford.dispatch;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
 import org.ebonyford.configuration.Pool;
@@ -139,6 +140,19 @@
 		return this.owners;
 	}
 
+	/**
+	 * Returns whether this router is the one that takes over totals of ended processes.
+	 * @return whether it is the first in the order of names that owns slots of the pool,
+	 * those that can't be reached among them
+	 */
+	boolean first() {
+		return this.upstreams.stream()
+			.flatMap((upstream) -> upstream.distinctOwners().stream())
+			.min(Comparator.naturalOrder())
+			.filter(this.self::equals)
+			.isPresent();
+	}
+
 	/**
 	 * Returns whether this router owns slots of the pool.
 	 * @return whether it owns at least one
--- a/ebonyford/src/main/java/org/ebonyford/fairness/Account.java
+++ b/ebonyford/src/main/java/org/ebonyford/fairness/Account.java
@@ -1,7 +1,9 @@
 package org.ebonyford.fairness;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 
@@ -235,6 +237,42 @@
 		raiseLift(row.lift());
 	}
 
+	/**
+	 * Adds the totals of ended processes to those of this one.
+	 * @param self this process
+	 * @param ended the ended processes
+	 * @return whether there were any
+	 */
+	boolean takeOver(Incarnation self, Collection<Incarnation> ended) {
+		boolean any = false;
+		for (Incarnation origin : ended) {
+			Totals former = this.totals.remove(origin);
+			if (former != null) {
+				Totals own = totalsOf(self);
+				own.charged += former.charged;
+				own.refunded += former.refunded;
+				any = true;
+			}
+		}
+		return any;
+	}
+
+	/**
+	 * Drops the totals of a VM's processes, whose service counts elsewhere.
+	 * @param last the last of the processes
+	 */
+	void drop(Incarnation last) {
+		Iterator<Map.Entry<Incarnation, Totals>> entries = this.totals.entrySet().iterator();
+		while (entries.hasNext()) {
+			Map.Entry<Incarnation, Totals> entry = entries.next();
+			if (entry.getKey().vm().equals(last.vm()) && entry.getKey().number() <= last.number()) {
+				this.service -= entry.getValue().service();
+				entries.remove();
+			}
+		}
+		compute();
+	}
+
 	private void compute() {
 		this.virtualService = this.service * SCALE / this.weight + this.lift;
 		double unseen = this.others * (this.recent + this.earlier / 2.0);
--- a/ebonyford/src/main/java/org/ebonyford/fairness/ServiceLedger.java
+++ b/ebonyford/src/main/java/org/ebonyford/fairness/ServiceLedger.java
@@ -4,11 +4,13 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
@@ -31,9 +33,10 @@
 	private static final Comparator<Account> BY_PLACE = ServiceLedger::compare;
 
 	/**
-	 * This process.
+	 * The process in whose name this one counts, with a larger number than its own if its
+	 * totals were taken over while it lived.
 	 */
-	private final Incarnation self;
+	private Incarnation self;
 
 	/**
 	 * The milliseconds without any backlog after which an organisation counts as idle.
@@ -70,6 +73,17 @@
 	 */
 	private Set<Account> recent = new LinkedHashSet<>();
 
+	/**
+	 * The other processes whose totals are kept.
+	 */
+	private final Set<Incarnation> origins = new HashSet<>();
+
+	/**
+	 * The largest number of each VM's processes whose totals were taken over by another
+	 * process.
+	 */
+	private final Map<VmId, Long> closed = new TreeMap<>();
+
 	/**
 	 * Returns the weight of an organisation.
 	 */
@@ -226,12 +240,23 @@
 	}
 
 	/**
-	 * Takes in the totals of a process.
+	 * Takes in the totals of a process. A message without any rows tells that another
+	 * process took them over.
 	 * @param now the clock reading in milliseconds
 	 * @param from the VM that sent the totals
 	 * @param service the totals
 	 */
 	public void received(long now, VmId from, Service service) {
+		if (closed(service.origin())) {
+			return;
+		}
+		if (service.rows().isEmpty()) {
+			close(service.origin());
+			return;
+		}
+		if (!service.origin().equals(this.self)) {
+			this.origins.add(service.origin());
+		}
 		boolean first = from.equals(service.origin().vm());
 		for (Service.Row row : service.rows()) {
 			Account account = account(row.organisation());
@@ -242,6 +267,70 @@
 		}
 	}
 
+	/**
+	 * Returns the other processes whose totals are kept.
+	 * @return the processes, ended ones too that were not taken over
+	 */
+	public Set<Incarnation> origins() {
+		return new HashSet<>(this.origins);
+	}
+
+	/**
+	 * Counts the totals of ended processes as those of this one from now on, so that the
+	 * rows of those can be dropped everywhere. Only one process may do so; the others are
+	 * told by its rows and by a message without rows in the name of each ended process.
+	 * @param ended the ended processes
+	 */
+	public void takeOver(Collection<Incarnation> ended) {
+		for (Account account : this.accounts.values()) {
+			if (account.takeOver(this.self, ended)) {
+				this.changed.add(account);
+			}
+		}
+		ended.forEach(this::close);
+	}
+
+	/**
+	 * Returns the processes whose totals were taken over by others.
+	 * @return the last one of each VM, which stands for those before it too
+	 */
+	public List<Incarnation> closed() {
+		List<Incarnation> all = new ArrayList<>(this.closed.size());
+		this.closed.forEach((vm, number) -> all.add(new Incarnation(vm, number)));
+		return all;
+	}
+
+	/**
+	 * Returns all rows in the name of this process.
+	 * @return the rows
+	 */
+	public List<Service.Row> ownRows() {
+		return rows().getOrDefault(this.self, List.of());
+	}
+
+	/**
+	 * Returns the process in whose name this one counts.
+	 * @return the process
+	 */
+	public Incarnation self() {
+		return this.self;
+	}
+
+	private boolean closed(Incarnation origin) {
+		return this.closed.getOrDefault(origin.vm(), Long.MIN_VALUE) >= origin.number();
+	}
+
+	private void close(Incarnation last) {
+		this.closed.merge(last.vm(), last.number(), Math::max);
+		this.origins.removeIf(this::closed);
+		for (Account account : this.accounts.values()) {
+			update(account, () -> account.drop(last));
+		}
+		if (closed(this.self)) {
+			this.self = new Incarnation(this.self.vm(), this.closed.get(this.self.vm()) + 1);
+		}
+	}
+
 	/**
 	 * Forgets what a router that can't be reached knew of waiting requests.
 	 * @param now the clock reading in milliseconds
--- a/ebonyford/src/main/java/org/ebonyford/message/PeerMessage.java
+++ b/ebonyford/src/main/java/org/ebonyford/message/PeerMessage.java
@@ -127,7 +127,9 @@
 	}
 
 	/**
-	 * Tells the service that one process has charged, in totals that only grow.
+	 * Tells the service that one process has charged, in totals that only grow. Without
+	 * any rows it tells that another process took over the totals of this one and of all
+	 * earlier ones on the same VM.
 	 *
 	 * @param origin the process that charged the service
 	 * @param pool the pool that the service was given in
--- a/ebonyford/src/test/java/org/ebonyford/dispatch/DispatchTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/dispatch/DispatchTest.java
@@ -253,6 +253,20 @@
 					&& message.message() instanceof PeerMessage.Service service && service.rows().size() == 1));
 	}
 
+	@Test
+	public void testTotalsOfAVmThatLeftTheListAreTakenOver() {
+		PeerMessage.Service.Row row = new PeerMessage.Service.Row(ORGANISATION, 7, 0, 0, false);
+		PeerMessage totals = new PeerMessage.Service(PEER, ENGINES, List.of(row));
+		call((outbox) -> this.dispatch.received(this.now, PEER, totals, outbox));
+		pass(1_000);
+		pass(3_600_000);
+		Incarnation other = new Incarnation(new VmId("vm-2"), 1);
+		List<Effect> effects = call((outbox) -> this.dispatch.peerSeen(this.now, other, outbox));
+		assertTrue(effects.contains(new Effect.ToPeer(other.vm(), new PeerMessage.Service(PEER, ENGINES, List.of()))),
+				effects.toString());
+		assertEquals(this.dispatch.service(ENGINES), Map.of(ORGANISATION, 7L));
+	}
+
 	private List<Effect> grant(long incarnation, long echo) {
 		PeerMessage.Grant grant = new PeerMessage.Grant(new GrantId(PEER, 1), SERVICE, incarnation, 1, SERVICES,
 				ORGANISATION, 1, echo, 1_000);
--- a/ebonyford/src/test/java/org/ebonyford/fairness/ServiceLedgerTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/fairness/ServiceLedgerTest.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -132,6 +133,62 @@
 		assertTrue(this.ledger.drainChanges().isEmpty());
 	}
 
+	@Test
+	public void testTakeoverChangesNoService() {
+		this.ledger.received(0, PEER.vm(), service("one", 70, 20, 0, false));
+		this.ledger.charge(this.one, 5);
+		this.ledger.takeOver(List.of(PEER));
+		assertEquals(this.one.service(), 55);
+		assertEquals(this.ledger.rows().keySet(), Set.of(SELF));
+	}
+
+	@Test
+	public void testRowThatComesAfterItsTakeoverIsNotCountedAgain() {
+		this.ledger.received(0, PEER.vm(), service("one", 70, 20, 0, false));
+		this.ledger.takeOver(List.of(PEER));
+		this.ledger.received(0, PEER.vm(), service("one", 70, 20, 0, false));
+		assertEquals(this.one.service(), 50);
+	}
+
+	@Test
+	public void testRowOfALaterProcessOfTheVmIsCounted() {
+		this.ledger.takeOver(List.of(PEER));
+		Service.Row row = new Service.Row(this.one.organisation(), 7, 0, 0, false);
+		this.ledger.received(0, PEER.vm(),
+				new Service(new Incarnation(PEER.vm(), PEER.number() + 1), POOL, List.of(row)));
+		assertEquals(this.one.service(), 7);
+	}
+
+	@Test
+	public void testProcessThatIsTakenOverWhileItLivesIsStillCounted() {
+		ServiceLedger peer = new ServiceLedger(PEER, 1_000, () -> CostEstimate.OfHint.INSTANCE);
+		Account account = peer.account(this.one.organisation());
+		peer.charge(account, 30);
+		tell(peer, this.ledger);
+		this.ledger.takeOver(List.of(PEER));
+		tell(this.ledger, peer);
+		peer.charge(account, 4);
+		tell(peer, this.ledger);
+		assertEquals(account.service(), 34);
+		assertEquals(this.one.service(), 34);
+	}
+
+	@Test
+	public void testTakeoversAgreeWithKeepingAllRowsThroughLossRepetitionAndRestarts() {
+		qt().forAll(integers().between(0, 1_000_000)).check((seed) -> new Takeovers(seed).agree());
+	}
+
+	private static void tell(ServiceLedger from, ServiceLedger to) {
+		messages(from).forEach((message) -> to.received(0, from.self().vm(), message));
+	}
+
+	private static List<Service> messages(ServiceLedger ledger) {
+		List<Service> messages = new ArrayList<>();
+		ledger.rows().forEach((origin, rows) -> messages.add(new Service(origin, POOL, rows)));
+		ledger.closed().forEach((origin) -> messages.add(new Service(origin, POOL, List.of())));
+		return messages;
+	}
+
 	private void backlog(long now) {
 		this.ledger.waiting(now, this.one, true);
 		this.ledger.waiting(now, this.two, true);
@@ -142,4 +199,138 @@
 				List.of(new Service.Row(new OrganisationId(organisation), charged, refunded, lift, backlogged)));
 	}
 
+	/**
+	 * Processes whose messages get lost, come again and come late, beside a naive ledger
+	 * that keeps everything.
+	 */
+	private static final class Takeovers {
+
+		private static final int VMS = 4;
+
+		private static final int ORGANISATIONS = 3;
+
+		private static final int STEPS = 60;
+
+		private final Random random;
+
+		private final List<ServiceLedger> ledgers = new ArrayList<>();
+
+		private final List<Integer> numbers = new ArrayList<>();
+
+		private final List<Service> sent = new ArrayList<>();
+
+		private final long[] naive = new long[ORGANISATIONS];
+
+		private Takeovers(int seed) {
+			this.random = new Random(seed);
+			for (int vm = 0; vm < VMS; vm++) {
+				this.numbers.add(1);
+				this.ledgers.add(ledger(vm));
+			}
+		}
+
+		private boolean agree() {
+			for (int step = 0; step < STEPS; step++) {
+				step();
+			}
+			exchange();
+			takeOver();
+			exchange();
+			for (ServiceLedger ledger : this.ledgers) {
+				if (ledger.rows().size() > VMS || !agrees(ledger)) {
+					return false;
+				}
+			}
+			return true;
+		}
+
+		private boolean agrees(ServiceLedger ledger) {
+			for (int organisation = 0; organisation < ORGANISATIONS; organisation++) {
+				if (ledger.account(organisation(organisation)).service() != this.naive[organisation]) {
+					return false;
+				}
+			}
+			return true;
+		}
+
+		private void step() {
+			switch (this.random.nextInt(6)) {
+				case 0, 1 -> charge();
+				case 2 -> send(any(), messages(any()));
+				case 3 -> repeat();
+				case 4 -> restart(this.random.nextInt(VMS));
+				default -> takeOver();
+			}
+		}
+
+		private void charge() {
+			int organisation = this.random.nextInt(ORGANISATIONS);
+			int cost = this.random.nextInt(100);
+			ServiceLedger ledger = any();
+			ledger.charge(ledger.account(organisation(organisation)), 2 * cost);
+			ledger.refund(ledger.account(organisation(organisation)), cost);
+			this.naive[organisation] += cost;
+		}
+
+		private void restart(int vm) {
+			this.ledgers.forEach((other) -> send(other, messages(this.ledgers.get(vm))));
+			this.numbers.set(vm, this.numbers.get(vm) + 10);
+			this.ledgers.set(vm, ledger(vm));
+			this.ledgers.forEach((other) -> send(this.ledgers.get(vm), messages(other)));
+		}
+
+		private void takeOver() {
+			ServiceLedger first = this.ledgers.get(0);
+			List<Incarnation> ended = first.origins()
+				.stream()
+				.filter((origin) -> origin.number() < this.numbers.get(index(origin.vm())))
+				.toList();
+			first.takeOver(ended);
+			this.ledgers.forEach((other) -> {
+				if (this.random.nextBoolean()) {
+					send(other, messages(first));
+				}
+			});
+		}
+
+		private void exchange() {
+			for (int round = 0; round < 2; round++) {
+				this.ledgers.forEach((from) -> this.ledgers.forEach((to) -> send(to, messages(from))));
+			}
+		}
+
+		private void repeat() {
+			if (!this.sent.isEmpty()) {
+				receive(any(), this.sent.get(this.random.nextInt(this.sent.size())));
+			}
+		}
+
+		private void send(ServiceLedger to, List<Service> messages) {
+			this.sent.addAll(messages);
+			messages.forEach((message) -> receive(to, message));
+		}
+
+		private void receive(ServiceLedger to, Service message) {
+			to.received(0, message.origin().vm(), message);
+		}
+
+		private ServiceLedger any() {
+			return this.ledgers.get(this.random.nextInt(VMS));
+		}
+
+		private ServiceLedger ledger(int vm) {
+			return new ServiceLedger(new Incarnation(new VmId("vm-" + vm), this.numbers.get(vm)), 1_000,
+					() -> CostEstimate.OfHint.INSTANCE);
+		}
+
+		private static int index(VmId vm) {
+			return Integer.parseInt(vm.value().substring("vm-".length()));
+		}
+
+		private static OrganisationId organisation(int index) {
+			return new OrganisationId("organisation-" + index);
+		}
+
+	}
+
 }
