Give owners turns, so that those with the same old totals serve others

Cause: between two gossips every owner of a pool sees the same totals and serves the same organisation.

Change: place gets a third part, the owner's turn for the organisation, which is another one for each owner. A turn is two requests of average cost divided by weight. No message changes.

--- a/ebonyford/src/main/java/org/ebonyford/dispatch/Owner.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/Owner.java
@@ -208,6 +208,7 @@
 				.outdated(before, this.fleet.self().vm())
 				.forEach((vm) -> changed(now, pool, pool.demand().forget(vm)));
 			pool.boundDebt(this.fleet.settings().debtRounds());
+			pool.takeTurns();
 		}
 	}
 
--- a/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 import org.ebonyford.configuration.Pool;
 import org.ebonyford.fairness.Account;
@@ -267,6 +269,18 @@
 		this.ledger.roll((own > 0) ? all / own - 1 : 0);
 	}
 
+	/**
+	 * Adapts the turns in which owners serve organisations to the present owners and the
+	 * average cost.
+	 */
+	void takeTurns() {
+		SortedSet<VmId> all = new TreeSet<>();
+		this.upstreams.forEach((upstream) -> all.addAll(upstream.distinctOwners()));
+		if (all.contains(this.self)) {
+			this.ledger.turns(all.headSet(this.self).size(), all.size(), this.meanCost);
+		}
+	}
+
 	/**
 	 * Adapts the debt that organisations may carry on to the average cost.
 	 * @param rounds the number of times that the debt fills all slots
--- a/ebonyford/src/main/java/org/ebonyford/fairness/Account.java
+++ b/ebonyford/src/main/java/org/ebonyford/fairness/Account.java
@@ -79,7 +79,14 @@
 	private double others;
 
 	/**
-	 * The virtual service with the estimate of what other processes charged unseen.
+	 * The cost that the organisation must be behind before this process serves it in the
+	 * turn of another one.
+	 */
+	private double turn;
+
+	/**
+	 * The virtual service with the estimate of what other processes charged unseen and
+	 * with the turn.
 	 */
 	private double place;
 
@@ -140,7 +147,7 @@
 	/**
 	 * Returns the place of the organisation in the order of service.
 	 * @return the virtual service with the estimate of what other processes charged
-	 * unseen
+	 * unseen and with the turn
 	 */
 	public double place() {
 		return this.place;
@@ -195,6 +202,11 @@
 		compute();
 	}
 
+	void turn(double value) {
+		this.turn = value;
+		compute();
+	}
+
 	void raiseLift(long value) {
 		this.lift = Math.max(this.lift, value);
 		compute();
@@ -276,7 +288,7 @@
 	private void compute() {
 		this.virtualService = this.service * SCALE / this.weight + this.lift;
 		double unseen = this.others * (this.recent + this.earlier / 2.0);
-		this.place = this.virtualService + unseen * SCALE / this.weight;
+		this.place = this.virtualService + (unseen + this.turn) * SCALE / this.weight;
 	}
 
 	/**
--- a/ebonyford/src/main/java/org/ebonyford/fairness/ServiceLedger.java
+++ b/ebonyford/src/main/java/org/ebonyford/fairness/ServiceLedger.java
@@ -32,6 +32,16 @@
 	 */
 	private static final Comparator<Account> BY_PLACE = ServiceLedger::compare;
 
+	/**
+	 * The relative change of the average cost that leaves the turns as they are.
+	 */
+	private static final double TOLERANCE = 0.1;
+
+	/**
+	 * The requests of average cost by which a turn differs from the next one.
+	 */
+	private static final int TURN_REQUESTS = 2;
+
 	/**
 	 * The process in whose name this one counts, with a larger number than its own if its
 	 * totals were taken over while it lived.
@@ -100,6 +110,21 @@
 	 */
 	private long debtCap = Long.MAX_VALUE;
 
+	/**
+	 * The place of this process among the owners, which take turns.
+	 */
+	private int index;
+
+	/**
+	 * The number of owners that take turns.
+	 */
+	private int owners = 1;
+
+	/**
+	 * The average cost of a request in which turns are counted.
+	 */
+	private double turnCost;
+
 	/**
 	 * Whether the totals of others are known, so that lifts can be computed.
 	 */
@@ -137,6 +162,32 @@
 		this.debtCap = cost * Account.SCALE;
 	}
 
+	/**
+	 * Sets in which turn this process serves each organisation. The owners have other
+	 * turns for each organisation, so that those that see the same old totals serve
+	 * different ones.
+	 * @param position the place of this process among the owners, from 0
+	 * @param count the number of owners
+	 * @param cost the average cost of a request
+	 */
+	public void turns(int position, int count, double cost) {
+		boolean same = position == this.index && count == this.owners;
+		if (same && Math.abs(cost - this.turnCost) <= TOLERANCE * this.turnCost) {
+			return;
+		}
+		this.index = position;
+		this.owners = count;
+		this.turnCost = cost;
+		for (Account account : this.accounts.values()) {
+			update(account, () -> account.turn(turn(account.organisation())));
+		}
+	}
+
+	private double turn(OrganisationId organisation) {
+		int turn = Math.floorMod(this.index + organisation.value().hashCode(), this.owners);
+		return turn * TURN_REQUESTS * this.turnCost;
+	}
+
 	/**
 	 * States that the totals of others are known.
 	 */
@@ -153,6 +204,7 @@
 		Account account = this.accounts.get(organisation);
 		if (account == null) {
 			account = new Account(organisation, this.weights.applyAsInt(organisation), this.estimates.get());
+			account.turn(turn(organisation));
 			this.accounts.put(organisation, account);
 		}
 		return account;
--- a/ebonyford/src/test/java/org/ebonyford/dispatch/DispatchFairnessTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/dispatch/DispatchFairnessTest.java
@@ -1,5 +1,7 @@
 package org.ebonyford.dispatch;
 
+import java.util.stream.IntStream;
+
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -30,6 +32,12 @@
 	private static final long BOUND = 2
 			* (SLOTS * LARGEST_COST + (DispatchSettings.Times.defaults().gossip() + 2) * SLOTS + LARGEST_COST);
 
+	private static final int COST = 480;
+
+	private static final String[] MANY = IntStream.range(0, 16)
+		.mapToObj((index) -> "organisation-" + index)
+		.toArray(String[]::new);
+
 	private static final long END = Long.MAX_VALUE;
 
 	@DataProvider
@@ -52,6 +60,12 @@
 		assertTrue(gap <= 3 * global, "gap " + gap + ", global queue " + global);
 	}
 
+	@Test(dataProvider = "seeds")
+	public void testGapBetweenManyOrganisationsIsThatOfAFewRequests(int seed) {
+		long gap = many(seed).gap(20_000, MANY);
+		assertTrue(gap <= 6 * COST, "gap " + gap);
+	}
+
 	@Test(dataProvider = "seeds")
 	public void testSlotsAreUsedWhileWorkWaits(int seed) {
 		double used = uneven(seed, ROUTERS, false).utilisation(30_000);
@@ -123,6 +137,26 @@
 		return fleet;
 	}
 
+	private static FakeFleet many(long seed) {
+		FakeFleet fleet = new FakeFleet(seed, (router) -> DispatchSettings.defaults(), POOL, ROUTERS, ENGINES);
+		fleet.leastCost = COST;
+		fleet.costRange = 1;
+		for (int index = 0; index < MANY.length; index++) {
+			fleet.organisation(MANY[index], weight(index));
+		}
+		fleet.start().run(5_000);
+		for (int index = 0; index < MANY.length; index++) {
+			fleet.arrivals(MANY[index], index % ROUTERS, 7 * weight(index), 1, END);
+			fleet.arrivals(MANY[index], (index + 3) % ROUTERS, 7 * weight(index), 1, END);
+		}
+		fleet.run(15_000);
+		return fleet;
+	}
+
+	private static int weight(int index) {
+		return (index % 4 == 0) ? 4 : 1;
+	}
+
 	private static FakeFleet flooded(boolean anonymous) {
 		FakeFleet fleet = new FakeFleet(6, (router) -> DispatchSettings.defaults(), POOL, ROUTERS, ENGINES)
 			.organisation("small", 1)
--- a/ebonyford/src/test/java/org/ebonyford/fairness/ServiceLedgerTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/fairness/ServiceLedgerTest.java
@@ -18,6 +18,7 @@
 import static org.quicktheories.QuickTheory.qt;
 import static org.quicktheories.generators.SourceDSL.integers;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -126,6 +127,16 @@
 		assertEquals(this.one.place(), (double) this.one.virtualService());
 	}
 
+	@Test
+	public void testOwnersWithTheSameTotalsServeDifferentOrganisations() {
+		assertNotEquals(nextInTurn(0, 0), nextInTurn(1, 0));
+	}
+
+	@Test
+	public void testTurnGivesWayToAnOrganisationThatIsFarBehind() {
+		assertEquals(nextInTurn(0, 50), nextInTurn(1, 50));
+	}
+
 	@Test
 	public void testChangesAreToldOnce() {
 		this.ledger.charge(this.one, 10);
@@ -178,6 +189,16 @@
 		qt().forAll(integers().between(0, 1_000_000)).check((seed) -> new Takeovers(seed).agree());
 	}
 
+	private static OrganisationId nextInTurn(int position, long charged) {
+		ServiceLedger owner = new ServiceLedger(SELF, 1_000, () -> CostEstimate.OfHint.INSTANCE);
+		Account first = owner.account(new OrganisationId("a"));
+		owner.turns(position, 2, 10);
+		owner.waiting(0, first, true);
+		owner.waiting(0, owner.account(new OrganisationId("b")), true);
+		owner.charge(first, charged);
+		return owner.next().orElseThrow().organisation();
+	}
+
 	private static void tell(ServiceLedger from, ServiceLedger to) {
 		messages(from).forEach((message) -> to.received(0, from.self().vm(), message));
 	}
