--- a/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
+++ b/ebonyford/src/main/java/org/ebonyford/dispatch/PoolState.java
@@ -1,7 +1,10 @@
 package org.ebonyford.dispatch;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 import org.ebonyford.configuration.Pool;
 import org.ebonyford.fairness.Account;
@@ -139,6 +142,19 @@
 		return this.owners;
 	}
 
+	/**
+	 * Returns whether this router is the one that takes over totals of ended processes.
+	 * @return whether it is the first in the order of names that owns slots of the pool,
+	 * those that can't be reached among them
+	 */
+	boolean first() {
+		return this.upstreams.stream()
+			.flatMap((upstream) -> upstream.distinctOwners().stream())
+			.min(Comparator.naturalOrder())
+			.filter(this.self::equals)
+			.isPresent();
+	}
+
 	/**
 	 * Returns whether this router owns slots of the pool.
 	 * @return whether it owns at least one
@@ -253,6 +269,18 @@
 		this.ledger.roll((own > 0) ? all / own - 1 : 0);
 	}
 
+	/**
+	 * Adapts the turns in which owners serve organisations to the present owners and the
+	 * average cost.
+	 */
+	void takeTurns() {
+		SortedSet<VmId> all = new TreeSet<>();
+		this.upstreams.forEach((upstream) -> all.addAll(upstream.distinctOwners()));
+		if (all.contains(this.self)) {
+			this.ledger.turns(all.headSet(this.self).size(), all.size(), this.meanCost);
+		}
+	}
+
 	/**
 	 * Adapts the debt that organisations may carry on to the average cost.
 	 * @param rounds the number of times that the debt fills all slots
--- a/ebonyford/src/main/java/org/ebonyford/fairness/Account.java
+++ b/ebonyford/src/main/java/org/ebonyford/fairness/Account.java
@@ -1,7 +1,9 @@
 package org.ebonyford.fairness;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 
@@ -77,7 +79,14 @@
 	private double others;
 
 	/**
-	 * The virtual service with the estimate of what other processes charged unseen.
+	 * The cost that the organisation must be behind before this process serves it in the
+	 * turn of another one.
+	 */
+	private double turn;
+
+	/**
+	 * The virtual service with the estimate of what other processes charged unseen and
+	 * with the turn.
 	 */
 	private double place;
 
@@ -138,7 +147,7 @@
 	/**
 	 * Returns the place of the organisation in the order of service.
 	 * @return the virtual service with the estimate of what other processes charged
-	 * unseen
+	 * unseen and with the turn
 	 */
 	public double place() {
 		return this.place;
@@ -193,6 +202,11 @@
 		compute();
 	}
 
+	void turn(double value) {
+		this.turn = value;
+		compute();
+	}
+
 	void raiseLift(long value) {
 		this.lift = Math.max(this.lift, value);
 		compute();
@@ -235,10 +249,46 @@
 		raiseLift(row.lift());
 	}
 
+	/**
+	 * Adds the totals of ended processes to those of this one.
+	 * @param self this process
+	 * @param ended the ended processes
+	 * @return whether there were any
+	 */
+	boolean takeOver(Incarnation self, Collection<Incarnation> ended) {
+		boolean any = false;
+		for (Incarnation origin : ended) {
+			Totals former = this.totals.remove(origin);
+			if (former != null) {
+				Totals own = totalsOf(self);
+				own.charged += former.charged;
+				own.refunded += former.refunded;
+				any = true;
+			}
+		}
+		return any;
+	}
+
+	/**
+	 * Drops the totals of a VM's processes, whose service counts elsewhere.
+	 * @param last the last of the processes
+	 */
+	void drop(Incarnation last) {
+		Iterator<Map.Entry<Incarnation, Totals>> entries = this.totals.entrySet().iterator();
+		while (entries.hasNext()) {
+			Map.Entry<Incarnation, Totals> entry = entries.next();
+			if (entry.getKey().vm().equals(last.vm()) && entry.getKey().number() <= last.number()) {
+				this.service -= entry.getValue().service();
+				entries.remove();
+			}
+		}
+		compute();
+	}
+
 	private void compute() {
 		this.virtualService = this.service * SCALE / this.weight + this.lift;
 		double unseen = this.others * (this.recent + this.earlier / 2.0);
-		this.place = this.virtualService + unseen * SCALE / this.weight;
+		this.place = this.virtualService + (unseen + this.turn) * SCALE / this.weight;
 	}
 
 	/**
--- a/ebonyford/src/main/java/org/ebonyford/fairness/ServiceLedger.java
+++ b/ebonyford/src/main/java/org/ebonyford/fairness/ServiceLedger.java
@@ -4,11 +4,13 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
@@ -31,9 +33,20 @@
 	private static final Comparator<Account> BY_PLACE = ServiceLedger::compare;
 
 	/**
-	 * This process.
+	 * The relative change of the average cost that leaves the turns as they are.
 	 */
-	private final Incarnation self;
+	private static final double TOLERANCE = 0.1;
+
+	/**
+	 * The requests of average cost by which a turn differs from the next one.
+	 */
+	private static final int TURN_REQUESTS = 2;
+
+	/**
+	 * The process in whose name this one counts, with a larger number than its own if its
+	 * totals were taken over while it lived.
+	 */
+	private Incarnation self;
 
 	/**
 	 * The milliseconds without any backlog after which an organisation counts as idle.
@@ -70,6 +83,17 @@
 	 */
 	private Set<Account> recent = new LinkedHashSet<>();
 
+	/**
+	 * The other processes whose totals are kept.
+	 */
+	private final Set<Incarnation> origins = new HashSet<>();
+
+	/**
+	 * The largest number of each VM's processes whose totals were taken over by another
+	 * process.
+	 */
+	private final Map<VmId, Long> closed = new TreeMap<>();
+
 	/**
 	 * Returns the weight of an organisation.
 	 */
@@ -86,6 +110,21 @@
 	 */
 	private long debtCap = Long.MAX_VALUE;
 
+	/**
+	 * The place of this process among the owners, which take turns.
+	 */
+	private int index;
+
+	/**
+	 * The number of owners that take turns.
+	 */
+	private int owners = 1;
+
+	/**
+	 * The average cost of a request in which turns are counted.
+	 */
+	private double turnCost;
+
 	/**
 	 * Whether the totals of others are known, so that lifts can be computed.
 	 */
@@ -123,6 +162,32 @@
 		this.debtCap = cost * Account.SCALE;
 	}
 
+	/**
+	 * Sets in which turn this process serves each organisation. The owners have other
+	 * turns for each organisation, so that those that see the same old totals serve
+	 * different ones.
+	 * @param position the place of this process among the owners, from 0
+	 * @param count the number of owners
+	 * @param cost the average cost of a request
+	 */
+	public void turns(int position, int count, double cost) {
+		boolean same = position == this.index && count == this.owners;
+		if (same && Math.abs(cost - this.turnCost) <= TOLERANCE * this.turnCost) {
+			return;
+		}
+		this.index = position;
+		this.owners = count;
+		this.turnCost = cost;
+		for (Account account : this.accounts.values()) {
+			update(account, () -> account.turn(turn(account.organisation())));
+		}
+	}
+
+	private double turn(OrganisationId organisation) {
+		int turn = Math.floorMod(this.index + organisation.value().hashCode(), this.owners);
+		return turn * TURN_REQUESTS * this.turnCost;
+	}
+
 	/**
 	 * States that the totals of others are known.
 	 */
@@ -139,6 +204,7 @@
 		Account account = this.accounts.get(organisation);
 		if (account == null) {
 			account = new Account(organisation, this.weights.applyAsInt(organisation), this.estimates.get());
+			account.turn(turn(organisation));
 			this.accounts.put(organisation, account);
 		}
 		return account;
@@ -226,12 +292,23 @@
 	}
 
 	/**
-	 * Takes in the totals of a process.
+	 * Takes in the totals of a process. A message without any rows tells that another
+	 * process took them over.
 	 * @param now the clock reading in milliseconds
 	 * @param from the VM that sent the totals
 	 * @param service the totals
 	 */
 	public void received(long now, VmId from, Service service) {
+		if (closed(service.origin())) {
+			return;
+		}
+		if (service.rows().isEmpty()) {
+			close(service.origin());
+			return;
+		}
+		if (!service.origin().equals(this.self)) {
+			this.origins.add(service.origin());
+		}
 		boolean first = from.equals(service.origin().vm());
 		for (Service.Row row : service.rows()) {
 			Account account = account(row.organisation());
@@ -242,6 +319,70 @@
 		}
 	}
 
+	/**
+	 * Returns the other processes whose totals are kept.
+	 * @return the processes, ended ones too that were not taken over
+	 */
+	public Set<Incarnation> origins() {
+		return new HashSet<>(this.origins);
+	}
+
+	/**
+	 * Counts the totals of ended processes as those of this one from now on, so that the
+	 * rows of those can be dropped everywhere. Only one process may do so; the others are
+	 * told by its rows and by a message without rows in the name of each ended process.
+	 * @param ended the ended processes
+	 */
+	public void takeOver(Collection<Incarnation> ended) {
+		for (Account account : this.accounts.values()) {
+			if (account.takeOver(this.self, ended)) {
+				this.changed.add(account);
+			}
+		}
+		ended.forEach(this::close);
+	}
+
+	/**
+	 * Returns the processes whose totals were taken over by others.
+	 * @return the last one of each VM, which stands for those before it too
+	 */
+	public List<Incarnation> closed() {
+		List<Incarnation> all = new ArrayList<>(this.closed.size());
+		this.closed.forEach((vm, number) -> all.add(new Incarnation(vm, number)));
+		return all;
+	}
+
+	/**
+	 * Returns all rows in the name of this process.
+	 * @return the rows
+	 */
+	public List<Service.Row> ownRows() {
+		return rows().getOrDefault(this.self, List.of());
+	}
+
+	/**
+	 * Returns the process in whose name this one counts.
+	 * @return the process
+	 */
+	public Incarnation self() {
+		return this.self;
+	}
+
+	private boolean closed(Incarnation origin) {
+		return this.closed.getOrDefault(origin.vm(), Long.MIN_VALUE) >= origin.number();
+	}
+
+	private void close(Incarnation last) {
+		this.closed.merge(last.vm(), last.number(), Math::max);
+		this.origins.removeIf(this::closed);
+		for (Account account : this.accounts.values()) {
+			update(account, () -> account.drop(last));
+		}
+		if (closed(this.self)) {
+			this.self = new Incarnation(this.self.vm(), this.closed.get(this.self.vm()) + 1);
+		}
+	}
+
 	/**
 	 * Forgets what a router that can't be reached knew of waiting requests.
 	 * @param now the clock reading in milliseconds
