Let no write coincide with the end of the idle time in a test

It slept three times the idle time of 700 ms from the moment the idle time was set, so that its events were written just when the server looked for idle connections a third time. The server fails a write that is under way when the idle time ends.

Ruled out for the product: its idle time is 10 min, longer than a caller may wait (5 min) and than an upstream may be silent (2 min).

Change: the test waits three times the short idle time before each of its two writes, and then sets the long one. It reads the first event at the caller before it starts the second wait.

--- a/ebonyford-router/src/test/java/org/ebonyford/router/upstream/ExchangesTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/upstream/ExchangesTest.java
@@ -344,20 +344,23 @@
 
 	@Test
 	public void testWaitOutlastsTheIdleTimeout() throws Exception {
-		CountDownLatch wait = new CountDownLatch(1);
+		CountDownLatch first = new CountDownLatch(1);
+		CountDownLatch last = new CountDownLatch(1);
 		run((request, wire) -> {
-			wait.await();
-			Thread.sleep(3 * IDLE_MILLIS);
+			first.await();
 			wire.stream(request.id());
 			wire.event(0, "{}");
-			Thread.sleep(3 * IDLE_MILLIS);
+			last.await();
 			wire.last(1, 9);
 		}, (upstream, server) -> {
-			CompletableFuture<String> answer = later(() -> server.call("POST", COMPLETIONS, STREAM).body());
+			Socket caller = server.complete(STREAM);
 			awaitRequests(upstream, 1);
-			server.closeIdle(IDLE_MILLIS);
-			wait.countDown();
-			assertEquals(answer.get(), events(1));
+			outlastIdleTimeout(server);
+			first.countDown();
+			readUntil(caller, "id: 0\ndata: {}\n\n");
+			outlastIdleTimeout(server);
+			last.countDown();
+			readUntil(caller, "data: [DONE]\n\n\r\n0\r\n\r\n");
 		});
 	}
 
@@ -499,6 +502,12 @@
 				decisions);
 	}
 
+	private static void outlastIdleTimeout(CallerServer server) throws InterruptedException {
+		server.closeIdle(IDLE_MILLIS);
+		Thread.sleep(3 * IDLE_MILLIS);
+		server.closeIdle(CallerServer.PATIENCE_MILLIS);
+	}
+
 	private static void answerLate(FakeUpstream.Wire wire, CountDownLatch written) throws IOException {
 		try {
 			wire.whole("200 OK", "r-2", "", "late");
