Let an unusable address stop no other upstream's reports

Cause: the address of a load report was parsed outside the part of the reader that turns an exception into a failed read. The exception ended the poller's periodic task, and with it the reports of all upstreams that this router watches: their limit falls to 0, and engines idle while requests wait. The check of a configuration lets such an address through, for instance [1]:8000, which is no IPv6 address for the reader.

Ruled out as the cause of the idle engine of FrozenRouterTest: its addresses are sound.

Change: building the call is part of what may fail.

Before: testUnusableAddressStopsNoOtherUpstream red after 60 s (with the address "no address"). After: green with [1]:8000, 6 tests of the package.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/platform/JsonReader.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/platform/JsonReader.java
@@ -83,17 +83,13 @@
 	 * @param uri the address of the document
 	 * @param type the type of the document
 	 * @param timeoutMillis the milliseconds within which the answer must come
-	 * @return the document, or a failure with an {@link IOException}
+	 * @return the document, or a failure, which is an {@link IOException} unless the
+	 * address can't be used
 	 */
 	public <T> CompletableFuture<T> read(String uri, Class<T> type, long timeoutMillis) {
-		SimpleHttpRequest request = SimpleRequestBuilder.get(uri).build();
-		request.setConfig(RequestConfig.custom()
-			.setResponseTimeout(Timeout.ofMilliseconds(timeoutMillis))
-			.setConnectionRequestTimeout(Timeout.ofMilliseconds(timeoutMillis))
-			.build());
 		CompletableFuture<SimpleHttpResponse> answer = new CompletableFuture<>();
 		try {
-			Future<SimpleHttpResponse> call = this.client.execute(request, new Completion(answer));
+			Future<SimpleHttpResponse> call = this.client.execute(request(uri, timeoutMillis), new Completion(answer));
 			return answer.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
 				.whenComplete((response, ex) -> endUnanswered(call, ex))
 				.thenCompose((response) -> parse(uri, response, type));
@@ -103,6 +99,15 @@
 		}
 	}
 
+	private static SimpleHttpRequest request(String uri, long timeoutMillis) {
+		SimpleHttpRequest request = SimpleRequestBuilder.get(uri).build();
+		request.setConfig(RequestConfig.custom()
+			.setResponseTimeout(Timeout.ofMilliseconds(timeoutMillis))
+			.setConnectionRequestTimeout(Timeout.ofMilliseconds(timeoutMillis))
+			.build());
+		return request;
+	}
+
 	/**
 	 * Closes the connection of a call that got no answer. The connection of an answered
 	 * call is kept for the next one, which cancelling would close.
