Leave the links' deflater to the end of the process

Cause: the links are closed before the event loop, so that a flush after that would have met a closed deflater, and its failure would have been logged as a fault at a stop. Found by reading; not seen in a run.

Change: the deflater isn't ended with the links. A link also forgets what it gathered before it hands it on, so that a failure there can't repeat it.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerLink.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerLink.java
@@ -130,8 +130,9 @@
 			present = open();
 			this.stream = present;
 		}
-		present.send(this.gathered);
+		List<Envelope> next = List.copyOf(this.gathered);
 		this.gathered.clear();
+		present.send(next);
 	}
 
 	private Outbound open() {
--- a/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerLinks.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerLinks.java
@@ -97,7 +97,6 @@
 	public void close() {
 		this.links.values().forEach(PeerLink::close);
 		this.links.clear();
-		this.deflater.end();
 	}
 
 }
