Generate the code of the messages by which routers append for each other

Ruled out: a fault of TLS (PeerLinksTest without TLS waits likewise without a flush). PeerTlsTest flushes. Conclusion: no message is written by hand any longer.

--- a/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerCodec.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/peer/PeerCodec.java
@@ -21,8 +21,10 @@
 import org.ebonyford.membership.VmList;
 import org.ebonyford.message.PeerMessage;
 import org.ebonyford.request.StoredAnswer;
+import org.ebonyford.router.generated.ClaimHandOver;
 import org.ebonyford.router.generated.ClaimQuery;
 import org.ebonyford.router.generated.ClaimStatus;
+import org.ebonyford.router.generated.ClaimsDeclined;
 import org.ebonyford.router.generated.Control;
 import org.ebonyford.router.generated.Crash;
 import org.ebonyford.router.generated.Demand;
@@ -101,8 +103,11 @@
 		else if (message instanceof PeerMessage.ClaimStatus status) {
 			envelope.setClaimStatus(encode(status));
 		}
-		else {
-			ClaimMessages.encode(envelope, message);
+		else if (message instanceof PeerMessage.ClaimHandOver handOver) {
+			envelope.setClaimHandOver(encode(handOver));
+		}
+		else if (message instanceof PeerMessage.ClaimsDeclined declined) {
+			envelope.setClaimsDeclined(ClaimsDeclined.newBuilder().addAllClaimIds(declined.claimIds()));
 		}
 	}
 
@@ -222,12 +227,13 @@
 		return builder.build();
 	}
 
-	/**
-	 * Translates a statement to its wire form.
-	 * @param record the statement
-	 * @return the wire form
-	 */
-	static ClaimStatus.Statement encode(ClaimRecord record) {
+	private static ClaimHandOver encode(PeerMessage.ClaimHandOver handOver) {
+		ClaimHandOver.Builder builder = ClaimHandOver.newBuilder();
+		handOver.statements().forEach((statement) -> builder.addStatements(encode(statement)));
+		return builder.build();
+	}
+
+	private static ClaimStatus.Statement encode(ClaimRecord record) {
 		ClaimStatus.Statement.Builder builder = ClaimStatus.Statement.newBuilder()
 			.setKind(ClaimStatus.Kind.valueOf(record.kind().name()))
 			.setClaimId(record.claimId())
@@ -275,7 +281,9 @@
 			case CRASH -> decode(envelope.getCrash());
 			case CLAIM_QUERY -> new PeerMessage.ClaimQuery(envelope.getClaimQuery().getClaimId());
 			case CLAIM_STATUS -> decode(envelope.getClaimStatus());
-			case BODY_NOT_SET -> ClaimMessages.decode(envelope).orElse(null);
+			case CLAIM_HAND_OVER -> decode(envelope.getClaimHandOver());
+			case CLAIMS_DECLINED -> new PeerMessage.ClaimsDeclined(envelope.getClaimsDeclined().getClaimIdsList());
+			case BODY_NOT_SET -> null;
 		};
 		return Optional.ofNullable(message);
 	}
@@ -363,13 +371,11 @@
 				status.getRecordList().stream().map(PeerCodec::decode).toList());
 	}
 
-	/**
-	 * Translates a statement from its wire form.
-	 * @param statement the wire form
-	 * @return the statement
-	 * @throws IllegalArgumentException if the statement is malformed
-	 */
-	static ClaimRecord decode(ClaimStatus.Statement statement) {
+	private static PeerMessage decode(ClaimHandOver handOver) {
+		return new PeerMessage.ClaimHandOver(handOver.getStatementsList().stream().map(PeerCodec::decode).toList());
+	}
+
+	private static ClaimRecord decode(ClaimStatus.Statement statement) {
 		Optional<StoredAnswer> answer = statement.hasAnswer()
 				? Optional.of(new StoredAnswer(statement.getAnswer().getStatus(),
 						statement.getAnswer().getContentType(), statement.getAnswer().getBody()))
--- a/ebonyford-router/src/test/java/org/ebonyford/router/peer/PeerTlsTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/peer/PeerTlsTest.java
@@ -99,6 +99,7 @@
 		listen(wrong);
 		try (PeerLinks careful = links(identity(this.authority, SELF))) {
 			careful.handle(message(0));
+			careful.flush();
 			assertNull(this.received.poll(QUIET_MILLIS, TimeUnit.MILLISECONDS));
 		}
 	}
@@ -110,6 +111,7 @@
 		while (count < MESSAGES && System.nanoTime() < end) {
 			for (int number = 0; number < links.size(); number++) {
 				links.get(number).handle(message(number));
+				links.get(number).flush();
 			}
 			Event event = this.received.poll(50, TimeUnit.MILLISECONDS);
 			if (event != null) {
