Hold calls at the stand-ins, and let an append whose answer is lost keep its body

Cause: the log stand-in read the body of a call a second time to carry out an append whose answer is lost. The second read gives nothing, so an empty record took effect in place of the append.

Ruled out: the router. With the fault on, a booking was refused as log-unavailable although the log's end had grown; the record was empty.

Change: the effect of a call and its answer are apart, and the effect has the body that was read. Two further faults hold a call before it takes effect, or its answer afterwards, until the faults are switched off, so that a test can stop a call at one step without a time. A fault can name a stream of the log and a text of the body. A test host tells how many calls are held.

After: 10 tests of LogStandInTest and ServiceStandInTest run, 0 failed. One run each, busy machine.

--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/platform/LogStandIn.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/platform/LogStandIn.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import org.ebonyford.emulator.fault.Fault;
 import org.ebonyford.emulator.fault.Faults;
@@ -22,12 +23,14 @@
 public final class LogStandIn implements StandIn {
 
 	/**
-	 * The operation that faults name to strike appends.
+	 * The operation that faults name to strike appends. A slash and the name of a stream
+	 * may follow.
 	 */
 	public static final String APPEND = "append";
 
 	/**
-	 * The operation that faults name to strike reads.
+	 * The operation that faults name to strike reads. A slash and the name of a stream
+	 * may follow.
 	 */
 	public static final String READ = "read";
 
@@ -152,7 +155,8 @@
 			exchange.body().thenAccept((body) -> append(exchange, path[NAME_POSITION], body));
 			return;
 		}
-		strike(exchange, READ, () -> read(exchange, path[NAME_POSITION]));
+		strike(exchange, READ + "/" + path[NAME_POSITION], new byte[0],
+				() -> () -> read(exchange, path[NAME_POSITION]));
 	}
 
 	private void append(Exchange exchange, String stream, byte[] body) {
@@ -160,7 +164,10 @@
 			exchange.answer(503, Map.of());
 			return;
 		}
-		strike(exchange, APPEND, () -> exchange.answer(201, Map.of("offset", append(stream, body))));
+		strike(exchange, APPEND + "/" + stream, body, () -> {
+			long offset = append(stream, body);
+			return () -> exchange.answer(201, Map.of("offset", offset));
+		});
 	}
 
 	private synchronized long append(String stream, byte[] body) {
@@ -170,36 +177,31 @@
 		return offset;
 	}
 
-	private void strike(Exchange exchange, String operation, Runnable effect) {
-		Optional<Fault> fault = this.faults.strike(operation);
+	/**
+	 * Carries out a call, or what its fault leaves of it.
+	 * @param exchange the call
+	 * @param operation the operation of the call
+	 * @param body the body of the call
+	 * @param effect has the call take effect and returns what answers it
+	 */
+	private void strike(Exchange exchange, String operation, byte[] body, Supplier<Runnable> effect) {
+		Optional<Fault> fault = this.faults.strike(operation, body);
 		if (fault.isEmpty()) {
-			effect.run();
+			effect.get().run();
 			return;
 		}
-		long millis = fault.get().millis();
 		switch (fault.get().kind()) {
 			case OUTAGE -> exchange.answer(503, Map.of());
 			case UNREACHABLE -> exchange.breakOff();
-			case LOST -> lose(exchange, operation);
-			case SLOW -> this.scheduler.schedule(effect, millis, TimeUnit.MILLISECONDS);
-			default -> effect.run();
-		}
-	}
-
-	/**
-	 * Lets a call take effect and breaks its connection in place of the answer.
-	 * @param exchange the call
-	 * @param operation the operation of the call
-	 */
-	private void lose(Exchange exchange, String operation) {
-		if (operation.equals(READ)) {
-			exchange.breakOff();
-			return;
+			case LOST -> {
+				effect.get();
+				exchange.breakOff();
+			}
+			case HELD -> this.faults.hold(() -> effect.get().run());
+			case HELD_ANSWER -> this.faults.hold(effect.get());
+			case SLOW -> this.scheduler.schedule(() -> effect.get().run(), fault.get().millis(), TimeUnit.MILLISECONDS);
+			default -> effect.get().run();
 		}
-		exchange.body().thenAccept((body) -> {
-			append(exchange.path().split("/")[NAME_POSITION], body);
-			exchange.breakOff();
-		});
 	}
 
 	private void read(Exchange exchange, String stream) {
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/StandIns.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/StandIns.java
@@ -16,6 +16,7 @@
 
 import org.ebonyford.emulator.Main;
 import org.ebonyford.emulator.fault.Fault;
+import org.ebonyford.emulator.fault.Faults;
 import org.ebonyford.emulator.http.Json;
 import org.ebonyford.emulator.platform.ListStandIn;
 import org.ebonyford.emulator.platform.LogStandIn;
@@ -154,7 +155,16 @@
 	}
 
 	/**
-	 * Switches all faults off.
+	 * Tells what a stand-in's faults hold.
+	 * @param name the name of the stand-in
+	 * @return the faults that are switched on, and what is held
+	 */
+	public Faults.State faults(String name) {
+		return Json.read(call("GET", name, "faults", new byte[0]), Faults.State.class);
+	}
+
+	/**
+	 * Switches all faults off and lets go on what is held.
 	 * @param name the name of the stand-in
 	 */
 	public void heal(String name) {
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/standin/StandInHost.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/standin/StandInHost.java
@@ -83,6 +83,7 @@
 		switch (exchange.method() + " " + path[2]) {
 			case "GET truth" ->
 				exchange.answer(200, standIn.truth(exchange.parameter("detailed").map(Boolean::valueOf).orElse(false)));
+			case "GET faults" -> exchange.answer(200, standIn.faults().state());
 			case "POST faults" -> {
 				standIn.faults().add(Json.read(body, Fault.class));
 				exchange.answer(200, Map.of());
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/Call.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/Call.java
@@ -27,6 +27,14 @@
 		return this.fault.filter((struck) -> struck.kind() == kind).isPresent();
 	}
 
+	/**
+	 * Returns a copy that no fault strikes.
+	 * @return the copy
+	 */
+	Call withoutFault() {
+		return new Call(this.exchange, this.body, this.requestId, this.key, this.organisation, Optional.empty());
+	}
+
 	/**
 	 * Returns the delay that a fault brings.
 	 * @return the milliseconds, 0 without a fault
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/ServiceStandIn.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/ServiceStandIn.java
@@ -67,6 +67,10 @@
 		}
 		ledger().charge(run, 1);
 		complete(run);
+		if (call.struckBy(Fault.Kind.HELD_ANSWER)) {
+			faults().hold(() -> later(() -> answer(call), 0));
+			return;
+		}
 		boolean late = call.struckBy(Fault.Kind.LATE) || call.struckBy(Fault.Kind.STALL);
 		later(() -> answer(call), late ? TimeUnit.MILLISECONDS.toMicros(call.delay()) : 0);
 	}
--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/UpstreamStandIn.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/upstream/UpstreamStandIn.java
@@ -300,7 +300,7 @@
 		}
 		Call call = new Call(exchange, body, exchange.header("X-Request-Id").orElse(""),
 				exchange.header("Idempotency-Key").orElse(""), organisation(exchange, body),
-				this.faults.strike("work"));
+				this.faults.strike("work", body));
 		if (!turnedAway(call)) {
 			take(call);
 		}
@@ -322,9 +322,11 @@
 		}
 		if (call.struckBy(Fault.Kind.SLOW)) {
 			long micros = TimeUnit.MILLISECONDS.toMicros(call.delay());
-			Call delayed = new Call(call.exchange(), call.body(), call.requestId(), call.key(), call.organisation(),
-					Optional.empty());
-			later(() -> take(delayed), micros);
+			later(() -> take(call.withoutFault()), micros);
+			return true;
+		}
+		if (call.struckBy(Fault.Kind.HELD)) {
+			this.faults.hold(() -> later(() -> take(call.withoutFault()), 0));
 			return true;
 		}
 		return false;
--- a/ebonyford-emulator/src/test/java/org/ebonyford/emulator/platform/LogStandInTest.java
+++ b/ebonyford-emulator/src/test/java/org/ebonyford/emulator/platform/LogStandInTest.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -14,6 +15,7 @@
 
 import org.ebonyford.emulator.fault.Fault;
 import org.ebonyford.emulator.http.Json;
+import org.ebonyford.emulator.process.Await;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
@@ -64,7 +66,42 @@
 		assertThrows(IOException.class, () -> append("lost"));
 		this.log.faults().add(Fault.of(Fault.Kind.OUTAGE).on(LogStandIn.APPEND).forCalls(1));
 		assertEquals(append("refused").statusCode(), 503);
+		JsonNode slice = read("from=0&limit=9");
+		assertEquals(slice.path("end").asInt(), 1);
+		assertEquals(new String(slice.path("records").path(0).path("body").binaryValue(), StandardCharsets.UTF_8),
+				"lost");
+	}
+
+	@Test
+	public void testHeldAppendTakesEffectWhenFaultsAreOff() throws Exception {
+		this.log.faults().add(Fault.of(Fault.Kind.HELD).on(LogStandIn.APPEND + "/claims").forCalls(1));
+		CompletableFuture<HttpResponse<byte[]>> held = appendAsync("held");
+		Await.until("the append to be held", 60, () -> this.log.faults().state().held() == 1);
+		assertEquals(Json.tree(append("first").body()).path("offset").asInt(), 0);
+		this.log.faults().clear();
+		assertEquals(Json.tree(held.join().body()).path("offset").asInt(), 1);
+	}
+
+	@Test
+	public void testHeldAnswerFollowsItsEffect() throws Exception {
+		this.log.faults().add(Fault.of(Fault.Kind.HELD_ANSWER).on(LogStandIn.APPEND).forCalls(1));
+		CompletableFuture<HttpResponse<byte[]>> held = appendAsync("held");
+		Await.until("the answer to be held", 60, () -> this.log.faults().state().held() == 1);
 		assertEquals(read("from=0&limit=9").path("end").asInt(), 1);
+		this.log.faults().clear();
+		assertEquals(Json.tree(held.join().body()).path("offset").asInt(), 0);
+	}
+
+	@Test
+	public void testFaultOfAnotherStreamStrikesNothing() throws Exception {
+		this.log.faults().add(Fault.of(Fault.Kind.OUTAGE).on(LogStandIn.APPEND + "/control"));
+		assertEquals(append("taken").statusCode(), 201);
+	}
+
+	private CompletableFuture<HttpResponse<byte[]>> appendAsync(String body) {
+		return this.client.sendAsync(
+				HttpRequest.newBuilder(uri("")).POST(HttpRequest.BodyPublishers.ofString(body)).build(),
+				HttpResponse.BodyHandlers.ofByteArray());
 	}
 
 	private HttpResponse<byte[]> append(String body) throws IOException, InterruptedException {
--- a/ebonyford-emulator/src/test/java/org/ebonyford/emulator/upstream/ServiceStandInTest.java
+++ b/ebonyford-emulator/src/test/java/org/ebonyford/emulator/upstream/ServiceStandInTest.java
@@ -1,6 +1,7 @@
 package org.ebonyford.emulator.upstream;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -12,6 +13,7 @@
 import org.ebonyford.emulator.load.CheckingClient;
 import org.ebonyford.emulator.load.Route;
 import org.ebonyford.emulator.load.Verdict;
+import org.ebonyford.emulator.process.Await;
 import org.ebonyford.emulator.site.Deployment;
 import org.ebonyford.emulator.truth.Truth;
 
@@ -61,11 +63,34 @@
 		assertEquals(truth().runs().stream().map((run) -> run.key()).toList(), List.of("a", "b"));
 	}
 
+	@Test
+	public void testHeldCallRunsWhenFaultsAreOff() {
+		this.service.faults().add(Fault.of(Fault.Kind.HELD).forCalls(1));
+		CompletableFuture<Verdict> held = send("a");
+		Await.until("the call to be held", 60, () -> this.service.faults().state().held() == 1);
+		assertEquals(truth().begun(), 0);
+		this.service.faults().clear();
+		assertTrue(held.join().completed());
+	}
+
+	@Test
+	public void testHeldAnswerFollowsItsRun() {
+		this.service.faults().add(Fault.of(Fault.Kind.HELD_ANSWER).forCalls(1));
+		CompletableFuture<Verdict> held = send("a");
+		Await.until("the answer to be held", 60, () -> this.service.faults().state().held() == 1);
+		assertEquals(truth().completed(), 1);
+		assertFalse(held.isDone());
+		this.service.faults().clear();
+		assertTrue(held.join().completed());
+	}
+
 	private Verdict file(String key) {
-		return this.client
-			.send(Route.direct(this.service.address()),
-					CallSpec.call(ORGANISATION, "raportti", "/reports?station=7", "84 cm").once(key))
-			.join();
+		return send(key).join();
+	}
+
+	private CompletableFuture<Verdict> send(String key) {
+		return this.client.send(Route.direct(this.service.address()),
+				CallSpec.call(ORGANISATION, "raportti", "/reports?station=7", "84 cm").once(key));
 	}
 
 	private Truth truth() {
