Look at the lines of a connection only to find its owner

Cause: the relay finds who opened a connection in the machine's table of sockets, on the thread that carries all bytes. It split each line by a regular expression; the table had 15,859 lines, most of them closed connections of the last minute.

Seen: a site of four routers behind relays stood for 60 s with no load report read by any router (limits 0 everywhere) on a machine at load 60 to 110.

Change: lines that name neither end are passed over before they are split.

What is left is the kernel's reading of the table; so the look-up is cheaper, not cheap.

Conclusion: this does not end the standstill by itself.

--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/relay/ConnectionOwner.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/relay/ConnectionOwner.java
@@ -69,6 +69,7 @@
 			String remote = String.format(":%04X", remotePort);
 			return TABLES.stream()
 				.flatMap(ForProcesses::lines)
+				.filter((line) -> line.contains(local) && line.contains(remote))
 				.map((line) -> line.trim().split("\\s+"))
 				.filter((columns) -> columns[LOCAL].endsWith(local) && columns[REMOTE].endsWith(remote))
 				.map((columns) -> columns[INODE])
