Look up who opened a connection beside the connections that stand

Cause: a relay looked up the opener of each new connection, by the kernel's tables and the open files of every router, on the one thread that passes the bytes of all connections. On a busy machine the whole site stood behind these look-ups: reports of load came too late, so that upstreams counted as cold, and claims waited for the log for more than a second.

Ruled out: the routers.

Change: look-ups run on four threads of their own. The package's constructor takes the executor, so that testCutIsInForceAtItsReturn still holds the relay's thread by a look-up; it is as strict as before, red on a cut that only hands the change over, and its limit on waiting is 60 s like the others.

Conclusion: connections that stand no longer wait for those that come.

--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/relay/Network.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/relay/Network.java
@@ -12,10 +12,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
 
@@ -30,11 +34,26 @@
 	 */
 	private static final int REFRESH_SECONDS = 60;
 
+	/**
+	 * The threads that look up who opened a connection.
+	 */
+	private static final int LOOK_UP_THREADS = 4;
+
+	/**
+	 * The seconds after which a thread ends that has nothing to look up.
+	 */
+	private static final long IDLE_SECONDS = 10;
+
 	/**
 	 * Tells who opened a connection.
 	 */
 	private final ConnectionOwner owner;
 
+	/**
+	 * Runs the look-ups of who opened a connection, which take long on a busy machine.
+	 */
+	private final Executor lookUps;
+
 	/**
 	 * The selector of all connections.
 	 */
@@ -75,16 +94,24 @@
 	 * @param owner tells who opened a connection
 	 */
 	public Network(ConnectionOwner owner) {
+		this(owner, threads());
+	}
+
+	/**
+	 * Starts a network without relays.
+	 * @param owner tells who opened a connection
+	 * @param lookUps runs the look-ups of who opened a connection
+	 */
+	Network(ConnectionOwner owner, Executor lookUps) {
 		this.owner = owner;
+		this.lookUps = lookUps;
 		try {
 			this.selector = Selector.open();
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
-		Thread thread = new Thread(this::run, "network");
-		thread.setDaemon(true);
-		thread.start();
+		daemon(this::run).start();
 	}
 
 	/**
@@ -217,14 +244,31 @@
 	}
 
 	private void accept(ServerSocketChannel server, String target) {
-		SocketChannel client = null;
 		try {
-			client = server.accept();
-			String source = this.owner
-				.of((InetSocketAddress) client.getRemoteAddress(), (InetSocketAddress) client.getLocalAddress())
-				.orElse("");
-			SocketChannel behind = SocketChannel.open(address(this.targets.get(target)));
-			Cut ends = new Cut(source, target);
+			SocketChannel client = server.accept();
+			if (client != null) {
+				this.lookUps.execute(() -> lookUp(client, target));
+			}
+		}
+		catch (IOException ex) {
+			return;
+		}
+	}
+
+	private void lookUp(SocketChannel client, String target) {
+		try {
+			Optional<String> source = this.owner.of((InetSocketAddress) client.getRemoteAddress(),
+					(InetSocketAddress) client.getLocalAddress());
+			execute(() -> open(client, new Cut(source.orElse(""), target)));
+		}
+		catch (IOException ex) {
+			Tunnel.reset(client);
+		}
+	}
+
+	private void open(SocketChannel client, Cut ends) {
+		try {
+			SocketChannel behind = SocketChannel.open(address(this.targets.get(ends.target())));
 			Tunnel tunnel = new Tunnel(ends, client, behind, this.selector,
 					(passed) -> this.bytes.merge(ends, passed, Long::sum));
 			this.tunnels.add(tunnel);
@@ -244,6 +288,19 @@
 		}
 	}
 
+	private static Executor threads() {
+		ThreadPoolExecutor threads = new ThreadPoolExecutor(LOOK_UP_THREADS, LOOK_UP_THREADS, IDLE_SECONDS,
+				TimeUnit.SECONDS, new LinkedBlockingQueue<>(), Network::daemon);
+		threads.allowCoreThreadTimeOut(true);
+		return threads;
+	}
+
+	private static Thread daemon(Runnable task) {
+		Thread thread = new Thread(task, "network");
+		thread.setDaemon(true);
+		return thread;
+	}
+
 	private static InetSocketAddress address(String address) {
 		int colon = address.lastIndexOf(':');
 		return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
