--- a/ebonyford-router/src/main/java/org/ebonyford/router/platform/JsonReader.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/platform/JsonReader.java
@@ -95,7 +95,7 @@
 		try {
 			Future<SimpleHttpResponse> call = this.client.execute(request, new Completion(answer));
 			return answer.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS)
-				.whenComplete((response, ex) -> call.cancel(true))
+				.whenComplete((response, ex) -> endUnanswered(call, ex))
 				.thenCompose((response) -> parse(uri, response, type));
 		}
 		catch (RuntimeException ex) {
@@ -103,6 +103,18 @@
 		}
 	}
 
+	/**
+	 * Closes the connection of a call that got no answer. The connection of an answered
+	 * call is kept for the next one, which cancelling would close.
+	 * @param call the call
+	 * @param failure why it got no answer, {@code null} if it got one
+	 */
+	private static void endUnanswered(Future<SimpleHttpResponse> call, Throwable failure) {
+		if (failure != null) {
+			call.cancel(true);
+		}
+	}
+
 	private <T> CompletableFuture<T> parse(String uri, SimpleHttpResponse response, Class<T> type) {
 		if (response.getCode() != HttpStatus.SC_OK) {
 			return CompletableFuture.failedFuture(new IOException(uri + " answered " + response.getCode()));
