--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/Site.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/site/Site.java
@@ -322,6 +322,15 @@
 		}
 	}
 
+	/**
+	 * Cuts a data centre from all others and from the platform.
+	 * @param dataCentre the data centre
+	 */
+	public void isolateDataCentre(String dataCentre) {
+		cutDataCentre(dataCentre);
+		routers(dataCentre).forEach(this::cutFromPlatform);
+	}
+
 	/**
 	 * Returns the bytes that a router exchanged with other routers and with the platform.
 	 * @param router the router
