Take the tests' ports from below the range of outgoing connections

The port was chosen by binding to port 0 and closing; it lies in the range from which the system takes ports of outgoing connections, so a connection of a test JVM beside it could take it before the router did. Ruled out: two choices of one port within a JVM (a set kept them apart).

--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/process/Ports.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/process/Ports.java
@@ -1,21 +1,42 @@
 package org.ebonyford.emulator.process;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.util.HashSet;
-import java.util.Set;
 
 /**
- * Has the system choose ports that are free, none of them twice.
+ * Chooses ports that are free, none of them twice. They lie below the range from which
+ * the system takes the ports of outgoing connections, so that a process can be started
+ * again at its port however many connections were made meanwhile. Test JVMs that run
+ * beside each other take theirs from ranges of their own.
  */
 public final class Ports {
 
 	/**
-	 * The ports that were chosen already.
+	 * The system property in which the test runner numbers its JVMs from 1.
 	 */
-	private static final Set<Integer> CHOSEN = new HashSet<>();
+	private static final String FORK_NUMBER = "surefire.forkNumber";
+
+	/**
+	 * The lowest port of the first range. Lower ports often belong to other programs.
+	 */
+	private static final int LOWEST = 10_000;
+
+	/**
+	 * The number of ports in a range.
+	 */
+	private static final int RANGE = 4_000;
+
+	/**
+	 * The number of ranges that fit below port 32768, where outgoing ports start.
+	 */
+	private static final int RANGES = 5;
+
+	/**
+	 * The number of ports that were tried already.
+	 */
+	private static int tried;
 
 	private Ports() {
 	}
@@ -23,18 +44,27 @@
 	/**
 	 * Chooses a port of the loopback address.
 	 * @return a port that was free at the moment of the call
+	 * @throws IllegalStateException if no port of the range is left
 	 */
 	public static synchronized int choose() {
-		while (true) {
-			try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-				if (CHOSEN.add(socket.getLocalPort())) {
-					return socket.getLocalPort();
-				}
-			}
-			catch (IOException ex) {
-				throw new UncheckedIOException(ex);
+		int first = LOWEST + RANGE * (Integer.getInteger(FORK_NUMBER, 0) % RANGES);
+		while (tried < RANGE) {
+			int port = first + tried++;
+			if (free(port)) {
+				return port;
 			}
 		}
+		throw new IllegalStateException("No port is left between " + first + " and " + (first + RANGE - 1));
+	}
+
+	private static boolean free(int port) {
+		try (ServerSocket socket = new ServerSocket()) {
+			socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 1);
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
 	}
 
 }
