Send requests on connections whose channel is known

The listener of a new connection runs before channelActive, so the channel was null when the request was to be written. Ruled out: refusal by the engines (they saw no arrivals). Change: the channel is taken when the handler is added.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -580,6 +580,9 @@
 	/**
 	 * Ends the request without an answer of an upstream: a stream that has begun breaks
 	 * off, and otherwise the status tells whether the request may have run.
+	 * @param reason why
+	 * @param retryMillis the time in milliseconds after which the caller may come back if
+	 * the request has not run
 	 */
 	private void giveUp(String reason, double retryMillis) {
 		if (this.begun) {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/HttpCalls.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/HttpCalls.java
@@ -124,9 +124,9 @@
 			channel.close();
 		}, timeoutMillis, TimeUnit.MILLISECONDS);
 		answer.whenComplete((value, failure) -> timeout.cancel(false));
-		channel.pipeline().get(AnswerHandler.class).expect(answer, () -> {
-			this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>()).addLast(channel);
-		});
+		channel.pipeline()
+			.get(AnswerHandler.class)
+			.expect(answer, () -> this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>()).addLast(channel));
 		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(),
 				Unpooled.wrappedBuffer(call.body()));
 		request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamConnection.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamConnection.java
@@ -98,7 +98,7 @@
 	}
 
 	@Override
-	public void channelActive(ChannelHandlerContext context) {
+	public void handlerAdded(ChannelHandlerContext context) {
 		this.channel = context.channel();
 	}
 
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Beliefs.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Beliefs.java
@@ -116,6 +116,7 @@
 	/**
 	 * Takes the newest records of the operator. An evacuation that is not among them has
 	 * ended.
+	 * @param batch the records
 	 */
 	void operatorNewest(StoreBatch batch) {
 		Set<String> before = new HashSet<>(this.evacuated);
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/settings/GatewaySettings.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/settings/GatewaySettings.java
@@ -83,6 +83,14 @@
 				values.number(Setting.COLD_SLACK), values.millis(Setting.SHARE_WINDOW));
 	}
 
+	/**
+	 * Returns the settings that there are.
+	 * @return the settings in the order of the page
+	 */
+	public static List<Setting> all() {
+		return List.of(Setting.values());
+	}
+
 	/**
 	 * Reads values by setting.
 	 *
@@ -127,12 +135,4 @@
 
 	}
 
-	/**
-	 * Returns the settings that there are.
-	 * @return the settings in the order of the page
-	 */
-	public static List<Setting> all() {
-		return List.of(Setting.values());
-	}
-
 }
