Refuse organisations beyond their share only when half of the target is waited

Cause:: 1369 answers 429 at a median of 124 ms: the limit fell to a quarter of the target, which any prompt being read exceeds. Change: at least half of the target.

--- a/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
@@ -28,8 +28,9 @@
 
 	/**
 	 * The least part of the latency target, for organisations far beyond their share.
+	 * While nobody waits that long, there is enough for them too.
 	 */
-	private static final double LEAST = 0.25;
+	private static final double LEAST = 0.5;
 
 	/**
 	 * The wait in milliseconds behind other requests below which nothing is refused, as
@@ -69,7 +70,7 @@
 			part = BELOW_SHARE - (BELOW_SHARE - AT_SHARE) * (usedShare - STARVED) / (1 - STARVED);
 		}
 		else {
-			part = Math.max(AT_SHARE / (usedShare * usedShare), LEAST);
+			part = Math.max(AT_SHARE / usedShare, LEAST);
 		}
 		return Math.min(targetMillis * part, remainingMillis);
 	}
