--- a/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
@@ -53,6 +53,21 @@
 	private Admission() {
 	}
 
+	/**
+	 * Returns the part of its latency target that a request may be expected to take.
+	 * @param usedShare the part of its fair share that the organisation has used
+	 * @return the part of the target
+	 */
+	public static double part(double usedShare) {
+		if (usedShare <= STARVED) {
+			return BELOW_SHARE;
+		}
+		if (usedShare <= 1) {
+			return BELOW_SHARE - (BELOW_SHARE - AT_SHARE) * (usedShare - STARVED) / (1 - STARVED);
+		}
+		return Math.max(AT_SHARE / usedShare, LEAST);
+	}
+
 	/**
 	 * Returns the time within which a request's first byte must be expected for it to be
 	 * taken.
@@ -62,17 +77,7 @@
 	 * @return the time in milliseconds
 	 */
 	public static double limitMillis(double targetMillis, double usedShare, double remainingMillis) {
-		double part;
-		if (usedShare <= STARVED) {
-			part = BELOW_SHARE;
-		}
-		else if (usedShare <= 1) {
-			part = BELOW_SHARE - (BELOW_SHARE - AT_SHARE) * (usedShare - STARVED) / (1 - STARVED);
-		}
-		else {
-			part = Math.max(AT_SHARE / usedShare, LEAST);
-		}
-		return Math.min(targetMillis * part, remainingMillis);
+		return Math.min(targetMillis * part(usedShare), remainingMillis);
 	}
 
 	/**
