--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -97,9 +97,8 @@
 			double slowness = candidate.slowness(now);
 			int slots = Math.max(candidate.entry().slots(), 1);
 			double queued = Math.max(load.running() + 1 - slots, 0) * this.pace.wholeMillis() / slots;
-			double ahead = (this.pace.readMillis(load.reading()) + queued) * slowness;
-			return new Choice(candidate, ahead + this.pace.firstMillis(unread) * slowness, ahead, unread,
-					load.reading());
+			double ahead = (candidate.backlogMillis(now) + queued) * slowness;
+			return new Choice(candidate, ahead + this.pace.firstMillis(unread) * slowness, ahead, unread);
 		}
 
 		private double cost(Work work, Choice choice, long home, long now) {
@@ -176,7 +175,7 @@
 				double failing = FAILURE_ANSWERS * each * candidate.health().failureShare(now);
 				double cost = each + ahead + busy + distance + failing;
 				if (cost < leastCost) {
-					best = new Choice(candidate, each + ahead, ahead, 0, 0);
+					best = new Choice(candidate, each + ahead, ahead, 0);
 					leastCost = cost;
 				}
 			}
