--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -199,6 +199,11 @@
 	 */
 	private String lastEvent = "";
 
+	/**
+	 * The time in milliseconds until the caller was sent the head of a stream.
+	 */
+	private long firstMillis;
+
 	/**
 	 * Whether the request was answered or given up.
 	 */
@@ -522,6 +527,7 @@
 		}
 		this.begun = true;
 		long elapsed = this.serving.clock().millis() - this.startedAt;
+		this.firstMillis = elapsed;
 		this.serving.metrics().time("ebonyford_first_event_ms", labels(), elapsed);
 		this.responder.begin(response.status().code(), ForwardedHeaders.ofAnswer(response.headers()));
 	}
@@ -639,6 +645,7 @@
 			.with("outcome", outcome)
 			.with("status", status)
 			.with("elapsed_ms", elapsed)
+			.with("first_event_ms", this.firstMillis)
 			.with("runs", this.runs));
 		this.story.write();
 	}
