Try a cost for long prompts beside running streams

Cause: prompts of over 20,000 tokens stretch the pauses of their engine's other streams. Change: a cost by pairs of tokens and running requests.

--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -32,7 +32,7 @@
 		 * How many milliseconds of waiting a millisecond of repeated reading is worth.
 		 * Reading delays every request of the engine, not only this one.
 		 */
-		private static final double READ_AGAIN_WEIGHT = 4;
+		private static final double READ_AGAIN_WEIGHT = 12;
 
 		/**
 		 * The part of an engine's memory that running requests may fill. Beyond it the
@@ -40,6 +40,19 @@
 		 */
 		private static final double MEMORY_PART = 0.92;
 
+		/**
+		 * The delay in milliseconds that a running request counts for with each million
+		 * pairs of tokens that the engine compares to read a prompt. The work of
+		 * attention grows with the square of the prompt, and it stretches the pauses
+		 * between the events of all running requests.
+		 */
+		private static final double DISTURBANCE_MILLIS = 0.05;
+
+		/**
+		 * The number of pairs in a million.
+		 */
+		private static final double MILLION = 1_000_000;
+
 		/**
 		 * The delay in milliseconds that a share of failures of 1 counts for.
 		 */
@@ -106,7 +119,14 @@
 			int missing = Math.max(work.sharedTokens() - candidate.parts().kept(work), 0);
 			double again = (candidate.hash() == home) ? 0 : READ_AGAIN_WEIGHT * this.pace.readMillis(missing);
 			double distance = candidate.entry().dataCentre().equals(this.dataCentre) ? 0 : DISTANCE_MILLIS;
-			return choice.firstMillis() + again + distance + FAILURE_MILLIS * candidate.health().failureShare(now);
+			return choice.firstMillis() + again + distance + disturbance(work, choice, now)
+					+ FAILURE_MILLIS * candidate.health().failureShare(now);
+		}
+
+		private double disturbance(Work work, Choice choice, long now) {
+			double kept = (double) work.promptTokens() - choice.unread();
+			double pairs = choice.unread() * (kept + choice.unread() / 2.0);
+			return DISTURBANCE_MILLIS * choice.upstream().total(now).running() * pairs / MILLION;
 		}
 
 		private long home(Work work, Collection<UpstreamState> candidates) {
