--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Attempt.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Attempt.java
@@ -128,15 +128,14 @@
 		this.sending = sending;
 		this.upstream = upstream;
 		this.choice = choice;
-		this.held = new Load(1, sending.work().memoryTokens());
+		this.held = new Load(1, choice.unread(), sending.work().memoryTokens());
 	}
 
 	/**
 	 * Takes a connection and sends the request.
 	 */
 	void start() {
-		int unread = this.choice.unread();
-		state().sent(this.held, unread, this.owner.pace().readMillis(unread), this.clock.millis());
+		state().sent(this.held, this.clock.millis());
 		this.upstream.pool().acquire(!this.sending.repeatable(), this::connected, this::unconnected);
 	}
 
@@ -314,9 +313,12 @@
 		this.begun = true;
 		long now = this.clock.millis();
 		double elapsed = now - this.sentAt;
-		this.owner.pace().first(this.choice.unread(), this.choice.aheadMillis(), elapsed);
+		this.owner.pace().first(this.choice.ahead() + this.choice.unread(), elapsed);
 		state().took(elapsed / Math.max(this.choice.firstMillis(), 1), now);
 		state().parts().read(this.sending.work());
+		Load reading = new Load(0, this.held.reading(), 0);
+		state().relieved(reading);
+		this.held = this.held.minus(reading);
 	}
 
 	private void end() {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/peer/PeerReport.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/peer/PeerReport.java
@@ -15,10 +15,10 @@
  *
  * @param name the name of the gateway, which is the address at which its peers reach it
  * @param catalogAge the age of its configuration in milliseconds
- * @param loads what it sent to upstreams by the hash of their identifier
+ * @param loads its load on upstreams by the hash of their identifier
  * @param usages what organisations asked of it and got, by the hash of their name
  */
-public record PeerReport(String name, int catalogAge, Map<Long, Sent> loads, Map<Integer, Usage> usages) {
+public record PeerReport(String name, int catalogAge, Map<Long, Load> loads, Map<Integer, Usage> usages) {
 
 	/**
 	 * The greatest number of upstreams, and of organisations, in a report. With them it
@@ -53,10 +53,10 @@
 		byte[] text = this.name.getBytes(StandardCharsets.US_ASCII);
 		buffer.putInt(MARK).putInt(this.catalogAge).put((byte) text.length).put(text);
 		buffer.put((byte) this.loads.size());
-		this.loads.forEach((upstream, sent) -> buffer.putLong(upstream)
-			.putShort((short) sent.load().running())
-			.putInt((int) sent.load().memory())
-			.putInt(sent.tokens()));
+		this.loads.forEach((upstream, load) -> buffer.putLong(upstream)
+			.putShort((short) load.running())
+			.putInt((int) load.reading())
+			.putInt((int) load.memory()));
 		buffer.put((byte) this.usages.size());
 		this.usages.forEach((organisation,
 				usage) -> buffer.putInt(organisation).putInt((int) usage.asked()).putInt((int) usage.served()));
@@ -79,9 +79,9 @@
 			int age = buffer.getInt();
 			byte[] text = new byte[buffer.get() & 0xff];
 			buffer.get(text);
-			Map<Long, Sent> loads = new HashMap<>();
+			Map<Long, Load> loads = new HashMap<>();
 			for (int rest = buffer.get(); rest > 0; rest--) {
-				loads.put(buffer.getLong(), new Sent(new Load(buffer.getShort(), buffer.getInt()), buffer.getInt()));
+				loads.put(buffer.getLong(), new Load(buffer.getShort(), buffer.getInt(), buffer.getInt()));
 			}
 			Map<Integer, Usage> usages = new HashMap<>();
 			for (int rest = buffer.get(); rest > 0; rest--) {
@@ -95,13 +95,4 @@
 		}
 	}
 
-	/**
-	 * What a gateway sent to an upstream.
-	 *
-	 * @param load its load at present
-	 * @param tokens the prompt tokens that it has sent since it knows the upstream
-	 */
-	public record Sent(Load load, int tokens) {
-	}
-
 }
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -49,6 +49,7 @@
 import org.ebonyford.gateway.store.StoreRecord;
 import org.ebonyford.gateway.store.StoreTopic;
 import org.ebonyford.gateway.wire.Adapter;
+import org.ebonyford.placement.Load;
 import org.ebonyford.placement.UpstreamState;
 import org.ebonyford.retry.ColdAllowance;
 import org.ebonyford.retry.RetryBudget;
@@ -413,14 +414,8 @@
 		this.peerAges.put(report.name(), new long[] { report.catalogAge(), now });
 		this.shares.peer(report.name(), report.usages(), now);
 		this.beliefs.upstreams().forEach((upstream) -> {
-			UpstreamState state = upstream.state();
-			PeerReport.Sent sent = report.loads().get(state.hash());
-			if (sent == null) {
-				state.peerIdle(report.name());
-				return;
-			}
-			double readMillis = service(state.entry().service()).pace().readMillis(1);
-			state.peer(report.name(), sent.load(), sent.tokens(), readMillis, now);
+			Load load = report.loads().getOrDefault(upstream.state().hash(), Load.NONE);
+			upstream.state().peer(report.name(), load, now);
 		});
 	}
 
@@ -498,11 +493,10 @@
 	}
 
 	private void report(long now) {
-		Map<Long, PeerReport.Sent> loads = new HashMap<>();
+		Map<Long, Load> loads = new HashMap<>();
 		for (Upstream upstream : this.beliefs.upstreams()) {
 			if (upstream.state().own().running() > 0 && loads.size() < PeerReport.GREATEST_ENTRIES) {
-				loads.put(upstream.state().hash(),
-						new PeerReport.Sent(upstream.state().own(), upstream.state().sentTokens()));
+				loads.put(upstream.state().hash(), upstream.state().own());
 			}
 		}
 		byte[] bytes = new PeerReport(this.self, (int) Math.min(catalogAge(), Integer.MAX_VALUE), loads,
--- a/ebonyford/src/main/java/org/ebonyford/placement/Choice.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Choice.java
@@ -7,6 +7,7 @@
  * @param firstMillis when the first byte of the answer is expected, in milliseconds
  * @param aheadMillis the part of that time that other requests take, in milliseconds
  * @param unread the prompt tokens that the upstream has to read
+ * @param ahead the prompt tokens that it reads before
  */
-public record Choice(UpstreamState upstream, double firstMillis, double aheadMillis, int unread) {
+public record Choice(UpstreamState upstream, double firstMillis, double aheadMillis, int unread, long ahead) {
 }
--- a/ebonyford/src/main/java/org/ebonyford/placement/Load.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Load.java
@@ -4,14 +4,15 @@
  * The load that routers have put on an upstream.
  *
  * @param running the requests that were sent and have not ended
+ * @param reading the prompt tokens of requests whose first event has not arrived
  * @param memory the tokens for which the requests may need memory
  */
-public record Load(int running, long memory) {
+public record Load(int running, long reading, long memory) {
 
 	/**
 	 * No load.
 	 */
-	public static final Load NONE = new Load(0, 0);
+	public static final Load NONE = new Load(0, 0, 0);
 
 	/**
 	 * Adds two loads.
@@ -19,7 +20,7 @@
 	 * @return the sums
 	 */
 	public Load plus(Load other) {
-		return new Load(this.running + other.running, this.memory + other.memory);
+		return new Load(this.running + other.running, this.reading + other.reading, this.memory + other.memory);
 	}
 
 	/**
@@ -28,7 +29,7 @@
 	 * @return the differences
 	 */
 	public Load minus(Load other) {
-		return new Load(this.running - other.running, this.memory - other.memory);
+		return new Load(this.running - other.running, this.reading - other.reading, this.memory - other.memory);
 	}
 
 }
--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -40,19 +40,6 @@
 		 */
 		private static final double MEMORY_PART = 0.92;
 
-		/**
-		 * The delay in milliseconds that a running request counts for with each million
-		 * pairs of tokens that the engine compares to read a prompt. The work of
-		 * attention grows with the square of the prompt, and it stretches the pauses
-		 * between the events of all running requests.
-		 */
-		private static final double DISTURBANCE_MILLIS = 0.05;
-
-		/**
-		 * The number of pairs in a million.
-		 */
-		private static final double MILLION = 1_000_000;
-
 		/**
 		 * The delay in milliseconds that a share of failures of 1 counts for.
 		 */
@@ -110,8 +97,9 @@
 			double slowness = candidate.slowness(now);
 			int slots = Math.max(candidate.entry().slots(), 1);
 			double queued = Math.max(load.running() + 1 - slots, 0) * this.pace.wholeMillis() / slots;
-			double ahead = (candidate.backlogMillis(now) + queued) * slowness;
-			return new Choice(candidate, ahead + this.pace.firstMillis(unread) * slowness, ahead, unread);
+			double ahead = (this.pace.readMillis(load.reading()) + queued) * slowness;
+			return new Choice(candidate, ahead + this.pace.firstMillis(unread) * slowness, ahead, unread,
+					load.reading());
 		}
 
 		private double cost(Work work, Choice choice, long home, long now) {
@@ -119,14 +107,7 @@
 			int missing = Math.max(work.sharedTokens() - candidate.parts().kept(work), 0);
 			double again = (candidate.hash() == home) ? 0 : READ_AGAIN_WEIGHT * this.pace.readMillis(missing);
 			double distance = candidate.entry().dataCentre().equals(this.dataCentre) ? 0 : DISTANCE_MILLIS;
-			return choice.firstMillis() + again + distance + disturbance(work, choice, now)
-					+ FAILURE_MILLIS * candidate.health().failureShare(now);
-		}
-
-		private double disturbance(Work work, Choice choice, long now) {
-			double kept = (double) work.promptTokens() - choice.unread();
-			double pairs = choice.unread() * (kept + choice.unread() / 2.0);
-			return DISTURBANCE_MILLIS * choice.upstream().total(now).running() * pairs / MILLION;
+			return choice.firstMillis() + again + distance + FAILURE_MILLIS * candidate.health().failureShare(now);
 		}
 
 		private long home(Work work, Collection<UpstreamState> candidates) {
@@ -195,7 +176,7 @@
 				double failing = FAILURE_ANSWERS * each * candidate.health().failureShare(now);
 				double cost = each + ahead + busy + distance + failing;
 				if (cost < leastCost) {
-					best = new Choice(candidate, each + ahead, ahead, 0);
+					best = new Choice(candidate, each + ahead, ahead, 0, 0);
 					leastCost = cost;
 				}
 			}
--- a/ebonyford/src/main/java/org/ebonyford/placement/ServicePace.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/ServicePace.java
@@ -58,17 +58,15 @@
 
 	/**
 	 * Notes when the first byte of an answer came.
-	 * @param unread the prompt tokens that were to be read
-	 * @param aheadMillis the time in milliseconds that earlier prompts were expected to
-	 * take
+	 * @param tokens the tokens that were to be read until then
 	 * @param millis the time since the request was sent, in milliseconds
 	 */
-	public void first(int unread, double aheadMillis, double millis) {
-		if (unread < SHORT_READ && aheadMillis < this.first.value()) {
+	public void first(double tokens, double millis) {
+		if (tokens < SHORT_READ) {
 			this.first.add(Math.min(millis, this.first.value() * OUTLIER));
 		}
-		else if (unread >= LONG_READ && aheadMillis < this.first.value()) {
-			double each = Math.max(millis - this.first.value() - aheadMillis, 0) / unread;
+		else if (tokens >= LONG_READ) {
+			double each = Math.max(millis - this.first.value(), 0) / tokens;
 			double average = this.read.value();
 			this.read.add(Math.max(average / OUTLIER, Math.min(each, average * OUTLIER)));
 		}
--- a/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
@@ -83,17 +83,6 @@
 	 */
 	private Load own = Load.NONE;
 
-	/**
-	 * The prompt tokens that this router has sent to the upstream since it is known.
-	 */
-	private int sentTokens;
-
-	/**
-	 * When the upstream has read all prompts that were sent to it, in milliseconds, with
-	 * fractions.
-	 */
-	private double readUntil;
-
 	/**
 	 * Until when the upstream is cold, in milliseconds.
 	 */
@@ -189,11 +178,9 @@
 	/**
 	 * Notes that a request is sent.
 	 * @param load its load
-	 * @param tokens the prompt tokens that the upstream has to read
-	 * @param readMillis the time in milliseconds for reading them
 	 * @param now the time in milliseconds
 	 */
-	public void sent(Load load, int tokens, double readMillis, long now) {
+	public void sent(Load load, long now) {
 		if (this.own.running() == 0) {
 			this.health.busy(now);
 		}
@@ -201,8 +188,6 @@
 			this.coldRequests.add(1, now);
 		}
 		this.own = this.own.plus(load);
-		this.sentTokens += tokens;
-		queue(readMillis, now);
 	}
 
 	/**
@@ -221,51 +206,14 @@
 		return this.own;
 	}
 
-	/**
-	 * Returns the prompt tokens that this router has sent to the upstream since it is
-	 * known. The number overflows; only its growth says something.
-	 * @return the number of tokens
-	 */
-	public int sentTokens() {
-		return this.sentTokens;
-	}
-
 	/**
 	 * Notes the load that a peer reported.
 	 * @param peer the name of the peer
 	 * @param load the load
-	 * @param tokens the prompt tokens that the peer has sent to the upstream since it
-	 * knows it
-	 * @param millisPerToken the time in milliseconds for reading a token
 	 * @param now the time in milliseconds
 	 */
-	public void peer(String peer, Load load, int tokens, double millisPerToken, long now) {
-		PeerLoad before = this.peers.put(peer, new PeerLoad(load, tokens, now));
-		int grown = (before != null) ? tokens - before.tokens() : 0;
-		if (grown > 0) {
-			queue(grown * millisPerToken, now);
-		}
-	}
-
-	/**
-	 * Notes that a peer has no request open at the upstream.
-	 * @param peer the name of the peer
-	 */
-	public void peerIdle(String peer) {
-		this.peers.remove(peer);
-	}
-
-	/**
-	 * Returns how long the upstream still reads prompts that were sent before.
-	 * @param now the time in milliseconds
-	 * @return the time in milliseconds
-	 */
-	public double backlogMillis(long now) {
-		return Math.max(this.readUntil - now, 0);
-	}
-
-	private void queue(double millis, long now) {
-		this.readUntil = Math.max(this.readUntil, now) + millis;
+	public void peer(String peer, Load load, long now) {
+		this.peers.put(peer, new PeerLoad(load, now));
 	}
 
 	/**
@@ -311,10 +259,9 @@
 	 * The load that a peer reported.
 	 *
 	 * @param load the load
-	 * @param tokens the prompt tokens that the peer has sent
 	 * @param receivedAt when the report arrived, in milliseconds
 	 */
-	private record PeerLoad(Load load, int tokens, long receivedAt) {
+	private record PeerLoad(Load load, long receivedAt) {
 	}
 
 }
