--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -204,6 +204,16 @@
 	 */
 	private long firstMillis;
 
+	/**
+	 * When the last events came, in milliseconds.
+	 */
+	private long eventAt;
+
+	/**
+	 * The longest time in milliseconds between events.
+	 */
+	private long longestPause;
+
 	/**
 	 * Whether the request was answered or given up.
 	 */
@@ -510,6 +520,9 @@
 			return;
 		}
 		begin(response);
+		long now = this.serving.clock().millis();
+		this.longestPause = Math.max(this.longestPause, now - this.eventAt);
+		this.eventAt = now;
 		for (StreamEvent event : events) {
 			if (event.after(this.lastEvent)) {
 				this.lastEvent = event.id().isEmpty() ? this.lastEvent : event.id();
@@ -528,6 +541,7 @@
 		this.begun = true;
 		long elapsed = this.serving.clock().millis() - this.startedAt;
 		this.firstMillis = elapsed;
+		this.eventAt = this.serving.clock().millis();
 		this.serving.metrics().time("ebonyford_first_event_ms", labels(), elapsed);
 		this.responder.begin(response.status().code(), ForwardedHeaders.ofAnswer(response.headers()));
 	}
@@ -646,6 +660,7 @@
 			.with("status", status)
 			.with("elapsed_ms", elapsed)
 			.with("first_event_ms", this.firstMillis)
+			.with("longest_pause_ms", this.longestPause)
 			.with("runs", this.runs));
 		this.story.write();
 	}
