Try engines set aside for long prompts

Cause: 27 in 100 streams beside a prompt of 28,000 tokens pause too long, 3 in 100 of the others. Change: one engine in six reads the long prompts.

--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -1,7 +1,10 @@
 package org.ebonyford.placement;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.ebonyford.directory.Rendezvous;
 
@@ -40,6 +43,40 @@
 		 */
 		private static final double MEMORY_PART = 0.92;
 
+		/**
+		 * The pairs of tokens from which a prompt counts as long. The work of attention
+		 * grows with the square of a prompt, and while an engine reads one of some 20,000
+		 * tokens the pauses between the events of all its other streams exceed what
+		 * callers take as on time.
+		 */
+		private static final double LONG_PAIRS = 200e6;
+
+		/**
+		 * The part of the engines that read the long prompts.
+		 */
+		private static final double LANE_PART = 0.16;
+
+		/**
+		 * The least number of engines of which some are set aside for long prompts.
+		 */
+		private static final int LEAST_ENGINES = 3;
+
+		/**
+		 * The delay in milliseconds that a long prompt counts for at the other engines.
+		 */
+		private static final double LONG_ELSEWHERE_MILLIS = 1_500;
+
+		/**
+		 * The delay in milliseconds that a short prompt counts for at the engines that
+		 * read long ones. Beyond it, short prompts go there too.
+		 */
+		private static final double SHORT_IN_LANE_MILLIS = 150;
+
+		/**
+		 * The key by which routers agree on the engines for long prompts.
+		 */
+		private static final long LANE_KEY = Rendezvous.hash("long prompts");
+
 		/**
 		 * The delay in milliseconds that a share of failures of 1 counts for.
 		 */
@@ -72,7 +109,9 @@
 
 		@Override
 		public Optional<Choice> choose(Work work, Collection<UpstreamState> candidates, double limitMillis, long now) {
-			long home = home(work, candidates);
+			Set<Long> lane = lane(candidates);
+			boolean longPrompt = (double) work.promptTokens() * work.promptTokens() / 2 >= LONG_PAIRS;
+			long home = home(work, candidates, lane);
 			Choice best = null;
 			double leastCost = Double.POSITIVE_INFINITY;
 			Choice soonest = null;
@@ -82,7 +121,10 @@
 					continue;
 				}
 				Choice choice = predict(work, candidate, load, now);
-				double cost = cost(work, choice, home, now);
+				boolean inLane = lane.contains(candidate.hash());
+				double separation = longPrompt ? (inLane ? 0 : LONG_ELSEWHERE_MILLIS)
+						: (inLane ? SHORT_IN_LANE_MILLIS : 0);
+				double cost = cost(work, choice, home, now) + (lane.isEmpty() ? 0 : separation);
 				if (choice.firstMillis() <= limitMillis && cost < leastCost) {
 					best = choice;
 					leastCost = cost;
@@ -110,13 +152,13 @@
 			return choice.firstMillis() + again + distance + FAILURE_MILLIS * candidate.health().failureShare(now);
 		}
 
-		private long home(Work work, Collection<UpstreamState> candidates) {
+		private static long home(Work work, Collection<UpstreamState> candidates, Set<Long> lane) {
 			long key = work.homeKey();
 			long home = 0;
 			long greatest = Long.MIN_VALUE;
 			for (UpstreamState candidate : candidates) {
 				long weight = Rendezvous.weight(key, candidate.hash());
-				if (weight > greatest) {
+				if (weight > greatest && !lane.contains(candidate.hash())) {
 					greatest = weight;
 					home = candidate.hash();
 				}
@@ -124,6 +166,23 @@
 			return home;
 		}
 
+		/**
+		 * Finds the engines that read long prompts. Streams beside such a prompt pause
+		 * for too long, so that prompts of a few percent of the requests would make a
+		 * part of all streams late.
+		 */
+		private static Set<Long> lane(Collection<UpstreamState> candidates) {
+			if (candidates.size() < LEAST_ENGINES) {
+				return Set.of();
+			}
+			int size = Math.max((int) Math.round(candidates.size() * LANE_PART), 1);
+			return candidates.stream()
+				.map(UpstreamState::hash)
+				.sorted(Comparator.comparingLong((Long hash) -> Rendezvous.weight(LANE_KEY, hash)))
+				.limit(size)
+				.collect(Collectors.toSet());
+		}
+
 	}
 
 	/**
