--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -365,6 +365,7 @@
 			.with("limit_ms", limit)
 			.with("used_share", used)
 			.with("unread_tokens", choice.unread())
+			.with("home", choice.home())
 			.with("running", choice.upstream().total(this.serving.clock().millis()).running());
 	}
 
--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -120,11 +120,11 @@
 				if (load.memory() + work.memoryTokens() > candidate.memoryTokens() * MEMORY_PART) {
 					continue;
 				}
-				Choice choice = predict(work, candidate, load, now);
+				Choice choice = predict(work, candidate, load, home, now);
 				boolean inLane = lane.contains(candidate.hash());
 				double separation = longPrompt ? (inLane ? 0 : LONG_ELSEWHERE_MILLIS)
 						: (inLane ? SHORT_IN_LANE_MILLIS : 0);
-				double cost = cost(work, choice, home, now) + (lane.isEmpty() ? 0 : separation);
+				double cost = cost(work, choice, now) + (lane.isEmpty() ? 0 : separation);
 				if (choice.firstMillis() <= limitMillis && cost < leastCost) {
 					best = choice;
 					leastCost = cost;
@@ -134,20 +134,20 @@
 			return Optional.ofNullable((best != null) ? best : soonest);
 		}
 
-		private Choice predict(Work work, UpstreamState candidate, Load load, long now) {
+		private Choice predict(Work work, UpstreamState candidate, Load load, long home, long now) {
 			int unread = Math.max(work.promptTokens() - candidate.parts().kept(work), 0);
 			double slowness = candidate.slowness(now);
 			int slots = Math.max(candidate.entry().slots(), 1);
 			double queued = Math.max(load.running() + 1 - slots, 0) * this.pace.wholeMillis() / slots;
 			double ahead = (this.pace.readMillis(load.reading()) + queued) * slowness;
 			return new Choice(candidate, ahead + this.pace.firstMillis(unread) * slowness, ahead, unread,
-					load.reading());
+					load.reading(), candidate.hash() == home);
 		}
 
-		private double cost(Work work, Choice choice, long home, long now) {
+		private double cost(Work work, Choice choice, long now) {
 			UpstreamState candidate = choice.upstream();
 			int missing = Math.max(work.sharedTokens() - candidate.parts().kept(work), 0);
-			double again = (candidate.hash() == home) ? 0 : READ_AGAIN_WEIGHT * this.pace.readMillis(missing);
+			double again = choice.home() ? 0 : READ_AGAIN_WEIGHT * this.pace.readMillis(missing);
 			double distance = candidate.entry().dataCentre().equals(this.dataCentre) ? 0 : DISTANCE_MILLIS;
 			return choice.firstMillis() + again + distance + FAILURE_MILLIS * candidate.health().failureShare(now);
 		}
@@ -235,7 +235,7 @@
 				double failing = FAILURE_ANSWERS * each * candidate.health().failureShare(now);
 				double cost = each + ahead + busy + distance + failing;
 				if (cost < leastCost) {
-					best = new Choice(candidate, each + ahead, ahead, 0, 0);
+					best = new Choice(candidate, each + ahead, ahead, 0, 0, false);
 					leastCost = cost;
 				}
 			}
