Choose among the engines that would take a request

Cause: a long prompt exceeds its limit on every engine, so it went to the soonest one instead of its lane. Change: an engine counts if the request would be taken there.

--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -125,7 +125,7 @@
 				double separation = longPrompt ? (inLane ? 0 : LONG_ELSEWHERE_MILLIS)
 						: (inLane ? SHORT_IN_LANE_MILLIS : 0);
 				double cost = cost(work, choice, now) + (lane.isEmpty() ? 0 : separation);
-				if (choice.firstMillis() <= limitMillis && cost < leastCost) {
+				if (Admission.takes(choice, limitMillis) && cost < leastCost) {
 					best = choice;
 					leastCost = cost;
 				}
@@ -170,6 +170,8 @@
 		 * Finds the engines that read long prompts. Streams beside such a prompt pause
 		 * for too long, so that prompts of a few percent of the requests would make a
 		 * part of all streams late.
+		 * @param candidates the engines that may take the request
+		 * @return the hashes of those engines
 		 */
 		private static Set<Long> lane(Collection<UpstreamState> candidates) {
 			if (candidates.size() < LEAST_ENGINES) {
