Keep shared parts on two homes, and divide what is really served

Shares were taken of the stated rate, which engines that keep prompts exceed; what each router believed to be kept was counted as if it alone filled the engine; spilled prompts were read anywhere.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -31,6 +31,7 @@
 import org.ebonyford.placement.Admission;
 import org.ebonyford.placement.Choice;
 import org.ebonyford.placement.ServicePace;
+import org.ebonyford.placement.Terms;
 import org.ebonyford.placement.Work;
 
 /**
@@ -327,12 +328,12 @@
 		double used = this.organisation.isEmpty() ? 0 : this.serving.shares().used(this.organisation.hashCode(), now);
 		double limit = Admission.limitMillis(this.route.targetMillis(), used, remaining());
 		Optional<Choice> choice = this.service.placement()
-			.choose(this.work, ServiceState.states(candidates), limit, now);
+			.choose(this.work, ServiceState.states(candidates), new Terms(limit, used <= 1), now);
 		if (choice.isEmpty()) {
 			giveUp(candidates.isEmpty() ? "no upstream can be used" : "no upstream has room", UNAVAILABLE_RETRY_MILLIS);
 			return;
 		}
-		if (this.arrivals == 0 && !this.serving.takesLong() && choice.get().firstMillis() > limit) {
+		if (this.arrivals == 0 && !this.serving.takesLong() && stream()) {
 			giveUp("the process is about to end", UNAVAILABLE_RETRY_MILLIS);
 			return;
 		}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
@@ -75,7 +75,7 @@
 	boolean keysKnown();
 
 	/**
-	 * Returns whether requests are still begun that may last long.
+	 * Returns whether streams are still begun, which may last long.
 	 * @return {@code false} shortly before the process ends
 	 */
 	boolean takesLong();
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -426,7 +426,7 @@
 					.flatMap(ServiceDefinition::engine)
 					.map(EngineProfile::memoryTokens)
 					.orElse(0L),
-				this.clock.millis());
+				this::routers, this.clock.millis());
 		ConnectionPool pool = new ConnectionPool(this.loop, this.clock,
 				new InetSocketAddress(entry.host(), entry.port()), () -> connectionLimit(service));
 		return new Upstream(state, pool);
@@ -455,7 +455,6 @@
 			this.probedAt = now;
 			this.beliefs.upstreams().forEach(this::probe);
 		}
-		this.shares.capacity(catalog().map(Catalog::tokensPerSecond).orElse(0.0));
 		readiness();
 	}
 
--- a/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
@@ -28,9 +28,8 @@
 
 	/**
 	 * The least part of the latency target, for organisations far beyond their share.
-	 * While nobody waits that long, there is enough for them too.
 	 */
-	private static final double LEAST = 0.5;
+	private static final double LEAST = 0.15;
 
 	/**
 	 * The wait in milliseconds behind other requests below which nothing is refused, as
--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -17,11 +18,11 @@
 	 * Chooses an upstream.
 	 * @param work the work of the request
 	 * @param candidates the upstreams that may take it
-	 * @param limitMillis the time in milliseconds within which the first byte should come
+	 * @param terms when its first byte should come, and where it may go
 	 * @param now the time in milliseconds
 	 * @return the choice, or empty if no candidate has room
 	 */
-	Optional<Choice> choose(Work work, Collection<UpstreamState> candidates, double limitMillis, long now);
+	Optional<Choice> choose(Work work, Collection<UpstreamState> candidates, Terms terms, long now);
 
 	/**
 	 * Places requests on model engines. It answers the load of long prompts that share
@@ -37,6 +38,12 @@
 		 */
 		private static final double READ_AGAIN_WEIGHT = 12;
 
+		/**
+		 * The shared tokens from which a request that may not spill is bound to its
+		 * homes.
+		 */
+		private static final int BOUND_TOKENS = 1_000;
+
 		/**
 		 * The part of an engine's memory that running requests may fill. Beyond it the
 		 * engine preempts the newest.
@@ -108,24 +115,23 @@
 		}
 
 		@Override
-		public Optional<Choice> choose(Work work, Collection<UpstreamState> candidates, double limitMillis, long now) {
+		public Optional<Choice> choose(Work work, Collection<UpstreamState> candidates, Terms terms, long now) {
 			Set<Long> lane = lane(candidates);
+			Homes homes = Homes.of(work, candidates, lane);
 			boolean longPrompt = (double) work.promptTokens() * work.promptTokens() / 2 >= LONG_PAIRS;
-			long home = home(work, candidates, lane);
+			boolean bound = !terms.spills() && !longPrompt && work.sharedTokens() >= BOUND_TOKENS;
 			Choice best = null;
 			double leastCost = Double.POSITIVE_INFINITY;
 			Choice soonest = null;
 			for (UpstreamState candidate : candidates) {
 				Load load = candidate.total(now);
-				if (load.memory() + work.memoryTokens() > candidate.memoryTokens() * MEMORY_PART) {
+				boolean full = load.memory() + work.memoryTokens() > candidate.memoryTokens() * MEMORY_PART;
+				if (full || (bound && !homes.contains(candidate))) {
 					continue;
 				}
-				Choice choice = predict(work, candidate, load, home, now);
-				boolean inLane = lane.contains(candidate.hash());
-				double separation = longPrompt ? (inLane ? 0 : LONG_ELSEWHERE_MILLIS)
-						: (inLane ? SHORT_IN_LANE_MILLIS : 0);
-				double cost = cost(work, choice, now) + (lane.isEmpty() ? 0 : separation);
-				if (Admission.takes(choice, limitMillis) && cost < leastCost) {
+				Choice choice = predict(work, candidate, load, homes, now);
+				double cost = cost(work, choice, homes, now) + separation(longPrompt, candidate, lane);
+				if (Admission.takes(choice, terms.limitMillis()) && cost < leastCost) {
 					best = choice;
 					leastCost = cost;
 				}
@@ -134,36 +140,31 @@
 			return Optional.ofNullable((best != null) ? best : soonest);
 		}
 
-		private Choice predict(Work work, UpstreamState candidate, Load load, long home, long now) {
-			int unread = Math.max(work.promptTokens() - candidate.parts().kept(work), 0);
+		private Choice predict(Work work, UpstreamState candidate, Load load, Homes homes, long now) {
+			boolean home = homes.first() == candidate.hash();
+			int kept = Math.max(candidate.parts().kept(work), home ? work.sharedTokens() : 0);
+			int unread = Math.max(work.promptTokens() - kept, 0);
 			double slowness = candidate.slowness(now);
 			int slots = Math.max(candidate.entry().slots(), 1);
 			double queued = Math.max(load.running() + 1 - slots, 0) * this.pace.wholeMillis() / slots;
 			double ahead = (this.pace.readMillis(load.reading()) + queued) * slowness;
 			return new Choice(candidate, ahead + this.pace.firstMillis(unread) * slowness, ahead, unread,
-					load.reading(), candidate.hash() == home);
+					load.reading(), home);
 		}
 
-		private double cost(Work work, Choice choice, long now) {
+		private double cost(Work work, Choice choice, Homes homes, long now) {
 			UpstreamState candidate = choice.upstream();
 			int missing = Math.max(work.sharedTokens() - candidate.parts().kept(work), 0);
-			double again = choice.home() ? 0 : READ_AGAIN_WEIGHT * this.pace.readMillis(missing);
+			double again = READ_AGAIN_WEIGHT * this.pace.readMillis(missing) * homes.missing(candidate);
 			double distance = candidate.entry().dataCentre().equals(this.dataCentre) ? 0 : DISTANCE_MILLIS;
 			return choice.firstMillis() + again + distance + FAILURE_MILLIS * candidate.health().failureShare(now);
 		}
 
-		private static long home(Work work, Collection<UpstreamState> candidates, Set<Long> lane) {
-			long key = work.homeKey();
-			long home = 0;
-			long greatest = Long.MIN_VALUE;
-			for (UpstreamState candidate : candidates) {
-				long weight = Rendezvous.weight(key, candidate.hash());
-				if (weight > greatest && !lane.contains(candidate.hash())) {
-					greatest = weight;
-					home = candidate.hash();
-				}
+		private static double separation(boolean longPrompt, UpstreamState candidate, Set<Long> lane) {
+			if (lane.isEmpty() || lane.contains(candidate.hash()) == longPrompt) {
+				return 0;
 			}
-			return home;
+			return longPrompt ? LONG_ELSEWHERE_MILLIS : SHORT_IN_LANE_MILLIS;
 		}
 
 		/**
@@ -187,6 +188,44 @@
 
 	}
 
+	/**
+	 * The two engines on which the shared parts of a prompt are kept: routers agree on
+	 * them without messages, and what the first cannot take goes to the second.
+	 *
+	 * @param first the hash of the first engine, 0 if there is none
+	 * @param second the hash of the second engine, 0 if there is none
+	 */
+	record Homes(long first, long second) {
+
+		/**
+		 * The part of the shared tokens that the second engine is taken to lack.
+		 */
+		private static final double SECOND_LACKS = 0.3;
+
+		static Homes of(Work work, Collection<UpstreamState> candidates, Set<Long> left) {
+			long key = work.homeKey();
+			List<Long> order = candidates.stream()
+				.map(UpstreamState::hash)
+				.filter((hash) -> !left.contains(hash))
+				.sorted(Comparator.comparingLong((Long hash) -> Rendezvous.weight(key, hash)).reversed())
+				.limit(2)
+				.toList();
+			return new Homes(order.isEmpty() ? 0 : order.get(0), (order.size() < 2) ? 0 : order.get(1));
+		}
+
+		boolean contains(UpstreamState candidate) {
+			return candidate.hash() == this.first || candidate.hash() == this.second;
+		}
+
+		double missing(UpstreamState candidate) {
+			if (candidate.hash() == this.first) {
+				return 0;
+			}
+			return (candidate.hash() == this.second) ? SECOND_LACKS : 1;
+		}
+
+	}
+
 	/**
 	 * Places short requests on the upstream that is expected to answer first. It answers
 	 * the load of upstreams that are slow, fail part of their requests, or queue.
@@ -224,7 +263,7 @@
 		}
 
 		@Override
-		public Optional<Choice> choose(Work work, Collection<UpstreamState> candidates, double limitMillis, long now) {
+		public Optional<Choice> choose(Work work, Collection<UpstreamState> candidates, Terms terms, long now) {
 			Choice best = null;
 			double leastCost = Double.POSITIVE_INFINITY;
 			for (UpstreamState candidate : candidates) {
--- a/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 
 import org.ebonyford.directory.Rendezvous;
@@ -35,8 +36,9 @@
 
 	/**
 	 * The part of an engine's memory that parts of ended requests are believed to keep.
+	 * What runs takes the rest.
 	 */
-	private static final double KEPT_PARTS = 0.5;
+	private static final double KEPT_PARTS = 0.4;
 
 	/**
 	 * What the upstream registered.
@@ -97,12 +99,14 @@
 	 * Creates a state without load.
 	 * @param entry what the upstream registered
 	 * @param memoryTokens the memory of an engine in tokens, 0 if the upstream is none
+	 * @param routers the number of routers that fill it
 	 * @param now the time in milliseconds
 	 */
-	public UpstreamState(UpstreamEntry entry, LongSupplier memoryTokens, long now) {
+	public UpstreamState(UpstreamEntry entry, LongSupplier memoryTokens, IntSupplier routers, long now) {
 		this.hash = Rendezvous.hash(entry.id());
 		this.memoryTokens = memoryTokens;
-		this.parts = new PartCache(() -> (long) (memoryTokens.getAsLong() * KEPT_PARTS));
+		this.parts = new PartCache(
+				() -> (long) (memoryTokens.getAsLong() * KEPT_PARTS / Math.max(routers.getAsInt(), 1)));
 		this.decayedAt = now;
 		update(entry, now);
 	}
--- a/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
+++ b/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
@@ -33,7 +33,8 @@
 
 	/**
 	 * The part of what is asked that must have been left unserved before the served
-	 * tokens are taken for all that the engines make.
+	 * tokens are taken for all that the engines make. What they make depends on the
+	 * prompts that they keep and on the engines that are out, so no stated rate tells it.
 	 */
 	private static final double SHORTAGE = 0.1;
 
@@ -52,11 +53,6 @@
 	 */
 	private final Map<String, PeerUsage> peers = new HashMap<>();
 
-	/**
-	 * The tokens a second that the engines make together, 0 if unknown.
-	 */
-	private double tokensPerSecond;
-
 	/**
 	 * The usage of all routers by the hash of the organisation, as of the last
 	 * computation.
@@ -81,14 +77,6 @@
 		this.windowMillis = windowMillis;
 	}
 
-	/**
-	 * Sets what there is to divide.
-	 * @param tokens the tokens a second that the engines make together, 0 if unknown
-	 */
-	public void capacity(double tokens) {
-		this.tokensPerSecond = tokens;
-	}
-
 	/**
 	 * Notes a request.
 	 * @param organisation the hash of the organisation
@@ -157,9 +145,7 @@
 			.forEach((peer) -> peer.usage().forEach((key, usage) -> sums.merge(key, usage, Usage::plus)));
 		double asked = sums.values().stream().mapToLong(Usage::asked).sum();
 		double served = sums.values().stream().mapToLong(Usage::served).sum();
-		double stated = (this.tokensPerSecond > 0) ? this.tokensPerSecond * this.windowMillis / 1_000
-				: Double.POSITIVE_INFINITY;
-		double capacity = (served < asked * (1 - SHORTAGE)) ? Math.min(stated, served) : stated;
+		double capacity = (served < asked * (1 - SHORTAGE)) ? served : Double.POSITIVE_INFINITY;
 		double[] demands = sums.values().stream().mapToDouble(Usage::asked).toArray();
 		this.level = Math.max(MaxMinLevel.of(demands, capacity), 1);
 		this.totals = sums;
