--- a/ebonyford/src/main/java/org/ebonyford/placement/Work.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Work.java
@@ -50,11 +50,12 @@
 	}
 
 	/**
-	 * Returns the memory that the request may need.
+	 * Returns the memory that the request may need for itself. An engine keeps the parts
+	 * that requests share only once.
 	 * @return the number of tokens
 	 */
 	public long memoryTokens() {
-		return (long) this.promptTokens + this.outputTokens;
+		return Math.max((long) this.promptTokens - sharedTokens(), 0) + this.outputTokens;
 	}
 
 	/**
