--- a/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
+++ b/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
@@ -15,6 +15,12 @@
  */
 public final class OrganisationShares {
 
+	/**
+	 * The part of its share that each organisation counts as having used while there is
+	 * enough for everyone: none goes before another.
+	 */
+	public static final double ENOUGH = 1;
+
 	/**
 	 * The width in milliseconds of the steps in which a window moves on.
 	 */
@@ -128,12 +134,15 @@
 	 * Returns the part of its fair share that an organisation has used.
 	 * @param organisation the hash of the organisation
 	 * @param now the time in milliseconds
-	 * @return the part, 0 while there is enough for everyone
+	 * @return the part, {@link #ENOUGH} while there is enough for everyone
 	 */
 	public double used(int organisation, long now) {
 		if (now - this.computedAt >= LEVEL_MILLIS || this.computedAt == Long.MIN_VALUE) {
 			compute(now);
 		}
+		if (Double.isInfinite(this.level)) {
+			return ENOUGH;
+		}
 		return this.totals.getOrDefault(organisation, Usage.NONE).served() / this.level;
 	}
 
