--- a/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
@@ -19,7 +19,7 @@
 	/**
 	 * The part of the latency target for an organisation that has used just its share.
 	 */
-	private static final double AT_SHARE = 0.9;
+	private static final double AT_SHARE = 0.75;
 
 	/**
 	 * The part of the share up to which an organisation counts as starved.
--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -4,8 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
 
 import org.ebonyford.directory.Rendezvous;
 
@@ -50,40 +48,6 @@
 		 */
 		private static final double MEMORY_PART = 0.92;
 
-		/**
-		 * The pairs of tokens from which a prompt counts as long. The work of attention
-		 * grows with the square of a prompt, and while an engine reads one of some 20,000
-		 * tokens the pauses between the events of all its other streams exceed what
-		 * callers take as on time.
-		 */
-		private static final double LONG_PAIRS = 200e6;
-
-		/**
-		 * The part of the engines that read the long prompts.
-		 */
-		private static final double LANE_PART = 0.16;
-
-		/**
-		 * The least number of engines of which some are set aside for long prompts.
-		 */
-		private static final int LEAST_ENGINES = 3;
-
-		/**
-		 * The delay in milliseconds that a long prompt counts for at the other engines.
-		 */
-		private static final double LONG_ELSEWHERE_MILLIS = 1_500;
-
-		/**
-		 * The delay in milliseconds that a short prompt counts for at the engines that
-		 * read long ones. Beyond it, short prompts go there too.
-		 */
-		private static final double SHORT_IN_LANE_MILLIS = 150;
-
-		/**
-		 * The key by which routers agree on the engines for long prompts.
-		 */
-		private static final long LANE_KEY = Rendezvous.hash("long prompts");
-
 		/**
 		 * The delay in milliseconds that a share of failures of 1 counts for.
 		 */
@@ -116,10 +80,8 @@
 
 		@Override
 		public Optional<Choice> choose(Work work, Collection<UpstreamState> candidates, Terms terms, long now) {
-			Set<Long> lane = lane(candidates);
-			Homes homes = Homes.of(work, candidates, lane);
-			boolean longPrompt = (double) work.promptTokens() * work.promptTokens() / 2 >= LONG_PAIRS;
-			boolean bound = !terms.spills() && !longPrompt && work.sharedTokens() >= BOUND_TOKENS;
+			Homes homes = Homes.of(work, candidates);
+			boolean bound = !terms.spills() && work.sharedTokens() >= BOUND_TOKENS;
 			Choice best = null;
 			double leastCost = Double.POSITIVE_INFINITY;
 			Choice soonest = null;
@@ -130,7 +92,7 @@
 					continue;
 				}
 				Choice choice = predict(work, candidate, load, homes, now);
-				double cost = cost(work, choice, homes, now) + separation(longPrompt, candidate, lane);
+				double cost = cost(work, choice, homes, now);
 				if (Admission.takes(choice, terms.limitMillis()) && cost < leastCost) {
 					best = choice;
 					leastCost = cost;
@@ -160,32 +122,6 @@
 			return choice.firstMillis() + again + distance + FAILURE_MILLIS * candidate.health().failureShare(now);
 		}
 
-		private static double separation(boolean longPrompt, UpstreamState candidate, Set<Long> lane) {
-			if (lane.isEmpty() || lane.contains(candidate.hash()) == longPrompt) {
-				return 0;
-			}
-			return longPrompt ? LONG_ELSEWHERE_MILLIS : SHORT_IN_LANE_MILLIS;
-		}
-
-		/**
-		 * Finds the engines that read long prompts. Streams beside such a prompt pause
-		 * for too long, so that prompts of a few percent of the requests would make a
-		 * part of all streams late.
-		 * @param candidates the engines that may take the request
-		 * @return the hashes of those engines
-		 */
-		private static Set<Long> lane(Collection<UpstreamState> candidates) {
-			if (candidates.size() < LEAST_ENGINES) {
-				return Set.of();
-			}
-			int size = Math.max((int) Math.round(candidates.size() * LANE_PART), 1);
-			return candidates.stream()
-				.map(UpstreamState::hash)
-				.sorted(Comparator.comparingLong((Long hash) -> Rendezvous.weight(LANE_KEY, hash)))
-				.limit(size)
-				.collect(Collectors.toSet());
-		}
-
 	}
 
 	/**
@@ -202,11 +138,10 @@
 		 */
 		private static final double SECOND_LACKS = 0.3;
 
-		static Homes of(Work work, Collection<UpstreamState> candidates, Set<Long> left) {
+		static Homes of(Work work, Collection<UpstreamState> candidates) {
 			long key = work.homeKey();
 			List<Long> order = candidates.stream()
 				.map(UpstreamState::hash)
-				.filter((hash) -> !left.contains(hash))
 				.sorted(Comparator.comparingLong((Long hash) -> Rendezvous.weight(key, hash)).reversed())
 				.limit(2)
 				.toList();
