--- /dev/null
+++ b/ebonyford/src/test/java/org/ebonyford/directory/RouterRosterTest.java
@@ -0,0 +1,42 @@
+package org.ebonyford.directory;
+
+import java.util.List;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class RouterRosterTest {
+
+	@Test
+	public void testSilentRouterCountsUntilItMustBeGone() {
+		RouterRoster roster = new RouterRoster("a");
+		roster.announced("b", "10.0.0.2", 1, 0);
+		assertEquals(roster.names(RouterRoster.GONE_MILLIS - 1), List.of("a", "b"));
+		assertEquals(roster.names(RouterRoster.GONE_MILLIS), List.of("a"));
+	}
+
+	@Test
+	public void testHeardRouterStays() {
+		RouterRoster roster = new RouterRoster("a");
+		roster.announced("b", "10.0.0.2", 1, 0);
+		roster.heard("b", 50_000);
+		assertEquals(roster.peers(100_000).size(), 1);
+	}
+
+	@Test
+	public void testWithdrawnRouterIsGone() {
+		RouterRoster roster = new RouterRoster("a");
+		roster.announced("b", "10.0.0.2", 1, 0);
+		roster.withdrawn("b");
+		assertEquals(roster.names(1), List.of("a"));
+	}
+
+	@Test
+	public void testOwnAnnouncementIsNoPeer() {
+		RouterRoster roster = new RouterRoster("a");
+		roster.announced("a", "10.0.0.1", 1, 0);
+		assertEquals(roster.peers(0), List.of());
+	}
+
+}
--- /dev/null
+++ b/ebonyford/src/test/java/org/ebonyford/placement/PlacementTest.java
@@ -0,0 +1,150 @@
+package org.ebonyford.placement;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import org.testng.annotations.Test;
+
+import org.ebonyford.directory.UpstreamEntry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+public class PlacementTest {
+
+	private static final Terms TERMS = new Terms(600, true);
+
+	private static final Work CHAT = Work
+		.of(List.of(new PromptPart(1, 500), new PromptPart(2, 5_000), new PromptPart(3, 2_000)), 7_500, 300);
+
+	private final ServicePace pace = new ServicePace();
+
+	private final Placement engines = new Placement.ForEngines("dc", this.pace);
+
+	private final Placement services = new Placement.ForServices("dc", this.pace);
+
+	@Test
+	public void testRoutersAgreeOnTheHomeOfAPrompt() {
+		UpstreamState first = choose(states(6), TERMS).upstream();
+		List<UpstreamState> others = states(6);
+		Collections.reverse(others);
+		assertEquals(choose(others, TERMS).upstream().entry().id(), first.entry().id());
+	}
+
+	@Test
+	public void testBusyHomeIsLeft() {
+		List<UpstreamState> states = states(6);
+		UpstreamState home = choose(states, TERMS).upstream();
+		home.sent(new Load(1, 100_000, 0), 0);
+		assertNotEquals(choose(states, TERMS).upstream(), home);
+	}
+
+	@Test
+	public void testOrganisationBeyondItsShareStaysAtTheHomes() {
+		List<UpstreamState> states = states(6);
+		UpstreamState home = choose(states, TERMS).upstream();
+		home.sent(new Load(1, 100_000, 0), 0);
+		UpstreamState second = choose(states, new Terms(600, false)).upstream();
+		second.sent(new Load(1, 100_000, 0), 0);
+		UpstreamState third = choose(states, new Terms(600, false)).upstream();
+		assertTrue(third == home || third == second, "no third engine reads the shared parts");
+	}
+
+	@Test
+	public void testEngineWithoutMemoryIsLeftOut() {
+		List<UpstreamState> states = states(2);
+		states.get(0).sent(new Load(1, 0, 495_000), 0);
+		assertEquals(choose(states, TERMS).upstream(), states.get(1));
+		states.get(1).sent(new Load(1, 0, 495_000), 0);
+		assertTrue(this.engines.choose(CHAT, states, TERMS, 0).isEmpty());
+	}
+
+	@Test
+	public void testLoadOfPeersCounts() {
+		List<UpstreamState> states = states(6);
+		UpstreamState home = choose(states, TERMS).upstream();
+		home.peer("peer", new Load(20, 100_000, 0), 0);
+		assertNotEquals(choose(states, TERMS).upstream(), home);
+		assertEquals(this.engines.choose(CHAT, states, TERMS, 5_000).orElseThrow().upstream(), home,
+				"a peer that fell silent counts no more");
+	}
+
+	@Test
+	public void testEngineThatFailsRequestsIsAvoided() {
+		List<UpstreamState> states = states(6);
+		UpstreamState home = choose(states, TERMS).upstream();
+		for (int index = 0; index < 20; index++) {
+			home.health().ended(true, 0);
+		}
+		assertNotEquals(choose(states, TERMS).upstream(), home);
+	}
+
+	@Test
+	public void testSlowUpstreamOfAServiceIsAvoided() {
+		List<UpstreamState> states = states(2);
+		for (int index = 0; index < 20; index++) {
+			states.get(0).took(8, 0);
+		}
+		assertEquals(this.services.choose(Work.NONE, states, TERMS, 0).orElseThrow().upstream(), states.get(1));
+	}
+
+	@Test
+	public void testFullUpstreamOfAServiceIsAvoided() {
+		List<UpstreamState> states = states(2);
+		for (int index = 0; index < 70; index++) {
+			states.get(1).sent(new Load(1, 0, 0), 0);
+		}
+		assertEquals(this.services.choose(Work.NONE, states, TERMS, 0).orElseThrow().upstream(), states.get(0));
+	}
+
+	@Test
+	public void testKeptPartsAreNotRead() {
+		UpstreamState state = states(1).get(0);
+		assertEquals(state.parts().kept(CHAT), 0);
+		state.parts().read(CHAT);
+		assertEquals(state.parts().kept(CHAT), 7_500);
+		Work other = Work.of(List.of(new PromptPart(9, 500), new PromptPart(2, 5_000)), 5_500, 1);
+		assertEquals(state.parts().kept(other), 0, "a part counts only with all parts before it");
+	}
+
+	@Test
+	public void testLeastRecentlyUsedPartsYield() {
+		PartCache cache = new PartCache(() -> 10_000);
+		cache.read(CHAT);
+		cache.read(Work.of(List.of(new PromptPart(9, 9_000)), 9_000, 1));
+		assertEquals(cache.kept(CHAT), 0);
+	}
+
+	@Test
+	public void testLimitShrinksWithTheUsedShare() {
+		double starved = Admission.limitMillis(400, 0.2, 10_000);
+		double even = Admission.limitMillis(400, 1, 10_000);
+		double beyond = Admission.limitMillis(400, 3, 10_000);
+		assertTrue(starved > 400 && even < 400 && beyond < even / 2, starved + ", " + even + ", " + beyond);
+		assertEquals(Admission.limitMillis(400, 0.2, 90), 90.0, "a caller that leaves soon is not kept waiting");
+	}
+
+	@Test
+	public void testNothingIsRefusedThatWaitsForNobody() {
+		UpstreamState state = states(1).get(0);
+		assertTrue(Admission.takes(new Choice(state, 5_000, 0, 50_000, 0, true), 100));
+		assertTrue(!Admission.takes(new Choice(state, 500, 300, 0, 30_000, true), 400));
+	}
+
+	private Choice choose(List<UpstreamState> states, Terms terms) {
+		return this.engines.choose(CHAT, states, terms, 0).orElseThrow();
+	}
+
+	private static List<UpstreamState> states(int count) {
+		List<UpstreamState> states = new ArrayList<>();
+		for (int index = 0; index < count; index++) {
+			states
+				.add(new UpstreamState(new UpstreamEntry("engine-" + index, "s", "10.0.0.1", 80, "dc", 64, false, 0, 1),
+						() -> 500_000, () -> 1, 0));
+		}
+		return states;
+	}
+
+}
