--- /dev/null
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/peer/PeerReportTest.java
@@ -0,0 +1,46 @@
+package org.ebonyford.gateway.peer;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.testng.annotations.Test;
+
+import org.ebonyford.placement.Load;
+import org.ebonyford.share.Usage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class PeerReportTest {
+
+	@Test
+	public void testReportIsReadAsItWasWritten() {
+		PeerReport report = new PeerReport("10.0.0.1:7400", 250, Map.of(-5L, new Load(3, 12_000, 70_000)),
+				Map.of(9, new Usage(5_000, 4_000)));
+		assertEquals(PeerReport.decode(report.encode()).orElseThrow(), report);
+	}
+
+	@Test
+	public void testLargestReportFitsAPacket() {
+		Map<Long, Load> loads = new HashMap<>();
+		Map<Integer, Usage> usages = new HashMap<>();
+		for (int index = 0; index < PeerReport.GREATEST_ENTRIES; index++) {
+			loads.put((long) index, new Load(64, 1 << 30, 1 << 30));
+			usages.put(index, new Usage(1 << 30, 1 << 30));
+		}
+		byte[] bytes = new PeerReport("255.255.255.255:65535", Integer.MAX_VALUE, loads, usages).encode();
+		assertTrue(bytes.length < 1_472, bytes.length + " bytes");
+		assertEquals(PeerReport.decode(bytes).orElseThrow().loads().size(), PeerReport.GREATEST_ENTRIES);
+	}
+
+	@Test
+	public void testDamagedReportsAreLeftOut() {
+		byte[] bytes = new PeerReport("a:1", 1, Map.of(1L, Load.NONE), Map.of(1, Usage.NONE)).encode();
+		for (int length = 0; length < bytes.length; length++) {
+			assertTrue(PeerReport.decode(Arrays.copyOf(bytes, length)).isEmpty(), length + " bytes");
+		}
+		assertTrue(PeerReport.decode(Arrays.copyOf(bytes, bytes.length + 1)).isEmpty());
+	}
+
+}
--- /dev/null
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/FakeStore.java
@@ -0,0 +1,87 @@
+package org.ebonyford.gateway.process;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.ebonyford.gateway.store.MetadataStore;
+import org.ebonyford.gateway.store.StoreBatch;
+import org.ebonyford.gateway.store.StoreException;
+import org.ebonyford.gateway.store.StoreRecord;
+import org.ebonyford.gateway.store.StoreTopic;
+
+/**
+ * A store in memory. It never waits, may be away, and may forget its history.
+ */
+final class FakeStore implements MetadataStore {
+
+	private final Map<StoreTopic, List<StoreRecord>> topics = new EnumMap<>(StoreTopic.class);
+
+	private final Map<StoreTopic, Integer> first = new EnumMap<>(StoreTopic.class);
+
+	private boolean away;
+
+	FakeStore() {
+		for (StoreTopic topic : StoreTopic.values()) {
+			this.topics.put(topic, new ArrayList<>());
+			this.first.put(topic, 0);
+		}
+	}
+
+	synchronized void write(StoreTopic topic, String key, String value) {
+		this.topics.get(topic).add(new StoreRecord(key, Optional.ofNullable(value).map(String::getBytes)));
+	}
+
+	synchronized void away(boolean now) {
+		this.away = now;
+	}
+
+	synchronized void forgetHistory() {
+		this.topics.forEach((topic, records) -> this.first.put(topic, records.size()));
+	}
+
+	synchronized List<StoreRecord> records(StoreTopic topic) {
+		return List.copyOf(this.topics.get(topic));
+	}
+
+	@Override
+	public synchronized CompletableFuture<StoreBatch> newest(StoreTopic topic) {
+		if (this.away) {
+			return CompletableFuture.failedFuture(new StoreException("away", false));
+		}
+		Map<String, StoreRecord> newest = new LinkedHashMap<>();
+		this.topics.get(topic).forEach((record) -> {
+			newest.remove(record.key());
+			record.value().ifPresent((value) -> newest.put(record.key(), record));
+		});
+		return CompletableFuture
+			.completedFuture(new StoreBatch(List.copyOf(newest.values()), this.topics.get(topic).size()));
+	}
+
+	@Override
+	public synchronized CompletableFuture<StoreBatch> read(StoreTopic topic, long from, long waitMillis) {
+		if (this.away) {
+			return CompletableFuture.failedFuture(new StoreException("away", false));
+		}
+		if (from < this.first.get(topic)) {
+			return CompletableFuture.failedFuture(new StoreException("forgotten", true));
+		}
+		List<StoreRecord> records = this.topics.get(topic);
+		return CompletableFuture
+			.completedFuture(new StoreBatch(records.subList((int) from, records.size()), records.size()));
+	}
+
+	@Override
+	public synchronized CompletableFuture<Void> append(StoreTopic topic, String key, Optional<byte[]> value) {
+		if (this.away) {
+			return CompletableFuture.failedFuture(new StoreException("away", false));
+		}
+		this.topics.get(topic).add(new StoreRecord(key, value));
+		return CompletableFuture.completedFuture(null);
+	}
+
+}
--- /dev/null
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -0,0 +1,260 @@
+package org.ebonyford.gateway.process;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+import org.ebonyford.catalog.Backend;
+import org.ebonyford.catalog.CallerLimits;
+import org.ebonyford.catalog.Catalog;
+import org.ebonyford.catalog.KeyHolder;
+import org.ebonyford.catalog.Route;
+import org.ebonyford.catalog.RouteKind;
+import org.ebonyford.catalog.RouteTable;
+import org.ebonyford.catalog.ServiceDefinition;
+import org.ebonyford.directory.UpstreamEntry;
+import org.ebonyford.gateway.http.HttpCalls;
+import org.ebonyford.gateway.log.EventLog;
+import org.ebonyford.gateway.settings.GatewaySettings;
+import org.ebonyford.gateway.store.MetadataStore;
+import org.ebonyford.gateway.store.StoreTopic;
+import org.ebonyford.gateway.wire.Adapter;
+import org.ebonyford.gateway.wire.HeaderNames;
+import org.ebonyford.gateway.wire.OperatorRecord;
+import org.ebonyford.placement.Work;
+import org.ebonyford.time.Clock;
+
+/**
+ * A gateway on loopback with a store in memory, whose wire has names of its own.
+ */
+final class GatewayFixture implements Closeable {
+
+	static final String KEY = "key-of-acme";
+
+	private static final long PATIENCE_MILLIS = 5_000;
+
+	private final FakeStore store = new FakeStore();
+
+	private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+
+	private final AtomicLong suspended = new AtomicLong();
+
+	private final List<FakeUpstream> upstreams = new ArrayList<>();
+
+	private final Map<String, KeyHolder> keys = new HashMap<>(Map.of(KEY, new KeyHolder("acme", OptionalInt.empty())));
+
+	private final Gateway gateway;
+
+	private final Map<String, InetSocketAddress> bound;
+
+	private long version;
+
+	GatewayFixture() {
+		InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+		GatewaySettings settings = new GatewaySettings("gateway", "dc1", any, any, any, any, any, 2_000, 4_000, 0.2, 50,
+				10_000, 1.5, 5, 4_000);
+		Clock wall = () -> System.currentTimeMillis() + this.suspended.get();
+		this.gateway = new Gateway(settings, new TestAdapter(), Clock.ForSystem.INSTANCE, wall,
+				new EventLog("gateway", wall, new PrintStream(this.logged, true, StandardCharsets.US_ASCII)));
+		this.bound = this.gateway.start();
+	}
+
+	GatewayFixture configured() {
+		configure();
+		await("ready", () -> readiness() == 200);
+		return this;
+	}
+
+	void configure() {
+		this.version++;
+		this.store.write(StoreTopic.OPERATOR, "catalog", String.valueOf(this.version));
+	}
+
+	FakeStore store() {
+		return this.store;
+	}
+
+	Gateway gateway() {
+		return this.gateway;
+	}
+
+	void revoke() {
+		this.keys.clear();
+		configure();
+	}
+
+	void suspend(long millis) {
+		this.suspended.addAndGet(millis);
+	}
+
+	String log() {
+		return this.logged.toString(StandardCharsets.US_ASCII);
+	}
+
+	/**
+	 * Starts an upstream and registers it.
+	 */
+	FakeUpstream upstream(String id, String service, FakeUpstream.Script script) {
+		try {
+			FakeUpstream upstream = new FakeUpstream(script);
+			this.upstreams.add(upstream);
+			register(id, service, upstream.port(), "dc1", false);
+			await("upstream " + id, () -> log().contains("\"upstream\":\"" + id + "\""));
+			return upstream;
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	void register(String id, String service, int port, String dataCentre, boolean draining) {
+		this.store.write(StoreTopic.UPSTREAMS, id, service + " " + port + " " + dataCentre + " " + draining);
+	}
+
+	int readiness() {
+		return Integer
+			.parseInt(raw(this.bound.get("readiness"), "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+				.substring(9, 12));
+	}
+
+	String metrics() {
+		return raw(this.bound.get("metrics"), "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+	}
+
+	/**
+	 * Sends a request with the key and returns the whole answer.
+	 */
+	String call(String path, String id, String headers) {
+		return raw(this.bound.get("callers"), request(path, id, headers));
+	}
+
+	static String request(String path, String id, String headers) {
+		return "POST " + path + " HTTP/1.1\r\nHost: acme.example\r\nId: " + id + "\r\nAuthorization: Bearer " + KEY
+				+ "\r\nConnection: close\r\nContent-Length: 4\r\n" + headers + "\r\nbody";
+	}
+
+	String send(String text) {
+		return raw(this.bound.get("callers"), text);
+	}
+
+	Socket connect() throws IOException {
+		InetSocketAddress address = this.bound.get("callers");
+		Socket socket = new Socket(address.getAddress(), address.getPort());
+		socket.setSoTimeout((int) PATIENCE_MILLIS);
+		return socket;
+	}
+
+	static String raw(InetSocketAddress address, String text) {
+		try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+			socket.setSoTimeout((int) PATIENCE_MILLIS);
+			socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+			return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+		}
+		catch (IOException ex) {
+			return "closed: " + ex.getMessage();
+		}
+	}
+
+	static void await(String what, BooleanSupplier condition) {
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() > end) {
+				throw new AssertionError("Waited in vain: " + what);
+			}
+			try {
+				Thread.sleep(10);
+			}
+			catch (InterruptedException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.gateway.close();
+		for (FakeUpstream upstream : this.upstreams) {
+			upstream.close();
+		}
+	}
+
+	private Catalog catalog(long number) {
+		List<Route> routes = List.of(route("/read/", RouteKind.IDEMPOTENT, "reads", 3_000, false),
+				route("/pay/", RouteKind.AT_MOST_ONCE, "pays", 3_000, false),
+				route("/stream/", RouteKind.STREAM, "streams", 3_000, false),
+				route("/resume/", RouteKind.RESUMABLE_STREAM, "resumes", 5_000, false),
+				route("/short/", RouteKind.AT_MOST_ONCE, "shorts", 300, false),
+				route("/open/", RouteKind.IDEMPOTENT, "opens", 3_000, true));
+		Map<String, ServiceDefinition> services = new HashMap<>();
+		routes.forEach((route) -> services.put(route.service(0),
+				new ServiceDefinition(route.service(0), "/health", 100, 0, Optional.empty())));
+		return new Catalog(number, RouteTable.of(routes), services, new CallerLimits(4_096, 1_000, 500, 2_000), 0,
+				Optional.of(Map.copyOf(this.keys)));
+	}
+
+	private static Route route(String prefix, RouteKind kind, String service, long timeout, boolean open) {
+		return new Route(prefix, "acme.example", prefix, kind, List.of(new Backend(service, 1)), 2, timeout, 1_000, 400,
+				1, open);
+	}
+
+	/**
+	 * An adapter whose records are words with blanks between them.
+	 */
+	private final class TestAdapter implements Adapter {
+
+		@Override
+		public HeaderNames headers() {
+			return new HeaderNames("Id", "Deadline", "Organisation", "Expected", "Seal", "Not-Run", Set.of("Hold"));
+		}
+
+		@Override
+		public Work work(HttpHeaders headers) {
+			return Work.NONE;
+		}
+
+		@Override
+		public Optional<OperatorRecord> operatorRecord(String key, Optional<byte[]> value) {
+			if (key.startsWith("evacuate ")) {
+				return Optional.of(new OperatorRecord.ForEvacuation(key.substring(9), value.isPresent()));
+			}
+			return value.filter((bytes) -> key.equals("catalog"))
+				.map((bytes) -> new OperatorRecord.ForCatalog(catalog(Long.parseLong(new String(bytes)))));
+		}
+
+		@Override
+		public Optional<UpstreamEntry> upstream(String id, byte[] value) {
+			String[] words = new String(value).split(" ");
+			return (words.length < 4) ? Optional.empty() : Optional.of(new UpstreamEntry(id, words[0], "127.0.0.1",
+					Integer.parseInt(words[1]), words[2], 4, Boolean.parseBoolean(words[3]), 0, 1));
+		}
+
+		@Override
+		public MetadataStore store(HttpCalls calls, InetSocketAddress address) {
+			return GatewayFixture.this.store;
+		}
+
+		@Override
+		public String readinessPath() {
+			return "/ready";
+		}
+
+	}
+
+}
