--- /dev/null
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/log/EventLogTest.java
@@ -0,0 +1,86 @@
+package org.ebonyford.gateway.log;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class EventLogTest {
+
+	@Test
+	public void testLineIsAJsonObject() {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		EventLog log = new EventLog("r1", () -> 1_234, new PrintStream(out, true));
+		log.write(LogLine.of(GatewayEvent.REFUSED).with("request", "a\"b\n").with("status", 503).with("age", 1.5));
+		log.drain(1_000);
+		await(() -> out.size() > 0);
+		assertEquals(out.toString().strip(),
+				"{\"at\":1234,\"router\":\"r1\",\"code\":\"EG-0031\",\"event\":\"REFUSED\","
+						+ "\"request\":\"a\\\"b\\u000a\",\"status\":503,\"age\":1.50}");
+	}
+
+	@Test
+	public void testRepeatedLinesAreBoundedAndCounted() {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		EventLog log = new EventLog("r1", () -> 1_234, new PrintStream(out, true));
+		IntStream.range(0, 5_000).forEach((index) -> log.write(LogLine.of(GatewayEvent.REFUSED)));
+		log.write(LogLine.of(GatewayEvent.STORE_LOST));
+		await(() -> out.toString().contains("STORE_LOST"));
+		long lines = out.toString().lines().count();
+		assertTrue(lines <= 101, lines + " lines in a second");
+		assertEquals(log.dropped(), 4_900);
+		assertTrue(out.toString().contains("\"dropped\":4900"));
+	}
+
+	@Test
+	public void testStreamThatBlocksDelaysNobody() {
+		CountDownLatch never = new CountDownLatch(1);
+		EventLog log = new EventLog("r1", System::currentTimeMillis, new PrintStream(new OutputStream() {
+			@Override
+			public void write(int value) throws IOException {
+				try {
+					never.await();
+				}
+				catch (InterruptedException ex) {
+					throw new IOException(ex);
+				}
+			}
+		}));
+		long start = System.nanoTime();
+		for (GatewayEvent event : GatewayEvent.values()) {
+			IntStream.range(0, 200).forEach((index) -> log.write(LogLine.of(event)));
+		}
+		assertTrue(System.nanoTime() - start < 1_000_000_000L);
+		assertTrue(log.dropped() > 0);
+	}
+
+	@Test
+	public void testPageTellsEachEvent() throws IOException {
+		List<String> page = Files.readAllLines(Path.of("../docs/gateway-events.md"));
+		for (GatewayEvent event : GatewayEvent.values()) {
+			String row = "| `" + event.code() + "` | `" + event + "` | " + event.meaning() + " |";
+			assertTrue(page.contains(row), "The page lacks: " + row);
+		}
+		assertEquals(page.stream().filter((line) -> line.startsWith("| `EG-")).count(), GatewayEvent.values().length);
+	}
+
+	private static void await(BooleanSupplier condition) {
+		long end = System.nanoTime() + 5_000_000_000L;
+		while (!condition.getAsBoolean()) {
+			assertTrue(System.nanoTime() < end, "Waited in vain");
+			Thread.onSpinWait();
+		}
+	}
+
+}
