--- /dev/null
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/RehearsalAdapter.java
@@ -0,0 +1,55 @@
+package org.ebonyford.gateway.process;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+import org.ebonyford.directory.UpstreamEntry;
+import org.ebonyford.gateway.http.HttpCalls;
+import org.ebonyford.gateway.store.MetadataStore;
+import org.ebonyford.gateway.wire.Adapter;
+import org.ebonyford.gateway.wire.HeaderNames;
+import org.ebonyford.gateway.wire.OperatorRecord;
+import org.ebonyford.placement.Work;
+
+/**
+ * An adapter whose store is another one.
+ *
+ * @param adapter the adapter
+ * @param memory the store
+ */
+record RehearsalAdapter(Adapter adapter, MetadataStore memory) implements Adapter {
+
+	@Override
+	public HeaderNames headers() {
+		return this.adapter.headers();
+	}
+
+	@Override
+	public Work work(HttpHeaders headers) {
+		return this.adapter.work(headers);
+	}
+
+	@Override
+	public Optional<OperatorRecord> operatorRecord(String key, Optional<byte[]> value) {
+		return this.adapter.operatorRecord(key, value);
+	}
+
+	@Override
+	public Optional<UpstreamEntry> upstream(String id, byte[] value) {
+		return this.adapter.upstream(id, value);
+	}
+
+	@Override
+	public MetadataStore store(HttpCalls calls, InetSocketAddress address) {
+		this.adapter.store(calls, address);
+		return this.memory;
+	}
+
+	@Override
+	public String readinessPath() {
+		return this.adapter.readinessPath();
+	}
+
+}
