--- a/ebonyford-router/src/main/java/org/ebonyford/router/command/CommandLine.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/command/CommandLine.java
@@ -135,7 +135,8 @@
 		CliBuilder<Operation> builder = Cli.<Operation>builder(PROGRAM)
 			.withDescription("Routes requests of many organisations to shared engines and services.")
 			.withCommands(List.of(RouterOperation.class, CheckOperation.class, PublishOperation.class,
-					ShowOperation.class, StatusOperation.class, EvidenceOperation.class, SettingsOperation.class));
+					ShowOperation.class, StatusOperation.class, EvidenceOperation.class, SettingsOperation.class,
+					ExplainOperation.class));
 		builder.withGroup("dc")
 			.withDescription("Takes data centres out of service and back.")
 			.withCommands(List.of(TakeOutOperation.DataCentreOut.class, TakeOutOperation.DataCentreIn.class));
--- a/ebonyford-router/src/test/java/org/ebonyford/router/command/CommandLineTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/command/CommandLineTest.java
@@ -68,6 +68,16 @@
 		this.launched = false;
 	}
 
+	@Test
+	public void testRequestIsExplainedFromLogs() {
+		this.files.put("a.log",
+				"{\"at\":5,\"router\":\"a\",\"event\":\"REFUSED\",\"request\":\"r1\",\"status\":429}\n{\n");
+		assertEquals(run("explain", "--request", "r1", "a.log"), ExitCode.OK);
+		assertTrue(printed().contains("5 a REFUSED status=429") && printed().contains("1 lines could not be read"),
+				printed());
+		assertEquals(run("explain", "--request", "r2", "a.log"), ExitCode.REFUSED);
+	}
+
 	@Test
 	public void testPublicationIsAccepted() {
 		assertEquals(run(PUBLISH), ExitCode.OK);
