Wait longer for an engine that reads a long prompt

Ruled out: a hung engine (it read on). Change: a stream waits 2.5 times its expected time; the decision is Patience in the core. PatienceTest's first case holds the figures seen; it would fail with the constant bound before.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -30,6 +30,7 @@
 import org.ebonyford.gateway.wire.HeaderNames;
 import org.ebonyford.placement.Admission;
 import org.ebonyford.placement.Choice;
+import org.ebonyford.placement.Patience;
 import org.ebonyford.placement.ServicePace;
 import org.ebonyford.placement.Terms;
 import org.ebonyford.placement.Work;
@@ -57,23 +58,6 @@
 	 */
 	private static final long WATCH_MILLIS = 100;
 
-	/**
-	 * How many times the expected time a repeatable request waits for its first byte
-	 * before another upstream is tried.
-	 */
-	private static final double PATIENCE = 5;
-
-	/**
-	 * The least patience in milliseconds with a request whose upstream answers others.
-	 */
-	private static final long LEAST_PATIENCE_MILLIS = 400;
-
-	/**
-	 * After how many milliseconds without an event a stream is continued elsewhere, if it
-	 * may be: callers give up after two seconds.
-	 */
-	private static final long STREAM_SILENCE_MILLIS = 1_200;
-
 	/**
 	 * The time in milliseconds after which a request that is refused for lack of a usable
 	 * configuration or upstream may come back.
@@ -405,12 +389,12 @@
 	}
 
 	private boolean overdue(Attempt current) {
-		long silent = current.silentMillis();
-		if (stream()) {
-			boolean hung = this.serving.clock().millis() - current.state().health().heardAt() > STREAM_SILENCE_MILLIS;
-			return silent > STREAM_SILENCE_MILLIS && (hung || current.answering());
+		double expected = current.choice().firstMillis();
+		if (!stream()) {
+			return Patience.endsFor(current.silentMillis(), expected);
 		}
-		return silent > Math.max(PATIENCE * current.choice().firstMillis(), LEAST_PATIENCE_MILLIS);
+		long upstreamSilent = this.serving.clock().millis() - current.state().health().heardAt();
+		return Patience.endsForStream(current.silentMillis(), expected, current.answering(), upstreamSilent);
 	}
 
 	private boolean mayRepeat() {
