--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -1,7 +1,6 @@
 package org.ebonyford.gateway.process;
 
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -26,7 +25,6 @@
 import org.ebonyford.catalog.Catalog;
 import org.ebonyford.catalog.EngineProfile;
 import org.ebonyford.catalog.ServiceDefinition;
-import org.ebonyford.directory.RouterRoster;
 import org.ebonyford.directory.UpstreamEntry;
 import org.ebonyford.freshness.Freshness;
 import org.ebonyford.gateway.caller.CallerServer;
@@ -40,8 +38,6 @@
 import org.ebonyford.gateway.log.GatewayEvent;
 import org.ebonyford.gateway.log.LogLine;
 import org.ebonyford.gateway.log.Metrics;
-import org.ebonyford.gateway.peer.PeerExchange;
-import org.ebonyford.gateway.peer.PeerReport;
 import org.ebonyford.gateway.settings.GatewaySettings;
 import org.ebonyford.gateway.store.MetadataStore;
 import org.ebonyford.gateway.store.StoreBatch;
@@ -49,7 +45,6 @@
 import org.ebonyford.gateway.store.StoreRecord;
 import org.ebonyford.gateway.store.StoreTopic;
 import org.ebonyford.gateway.wire.Adapter;
-import org.ebonyford.placement.Load;
 import org.ebonyford.placement.UpstreamState;
 import org.ebonyford.retry.ColdAllowance;
 import org.ebonyford.retry.RetryBudget;
@@ -95,17 +90,6 @@
 	 */
 	private static final long REVOCATION_MARGIN_MILLIS = 900;
 
-	/**
-	 * The time in milliseconds between two reports to a peer among few peers.
-	 */
-	private static final long REPORT_MILLIS = 200;
-
-	/**
-	 * The number of peers up to which reports come that often; beyond it the pause grows
-	 * with their number, so that reports cost the same a second.
-	 */
-	private static final int FEW_PEERS = 10;
-
 	/**
 	 * The time in milliseconds before the kill at which the process ends by itself.
 	 */
@@ -209,14 +193,9 @@
 	private final CallerServer callers;
 
 	/**
-	 * The reports of peers.
-	 */
-	private final PeerExchange peers = new PeerExchange(this::reported);
-
-	/**
-	 * The age of each peer's configuration in milliseconds, and when it was told.
+	 * The other gateways.
 	 */
-	private final Map<String, long[]> peerAges = new HashMap<>();
+	private final Peering peering;
 
 	/**
 	 * The limits on repeats.
@@ -238,21 +217,6 @@
 	 */
 	private final List<Channel> listeners = new ArrayList<>();
 
-	/**
-	 * The other gateways.
-	 */
-	private RouterRoster roster;
-
-	/**
-	 * The names of the gateways that may be alive, this one first.
-	 */
-	private List<String> names = List.of("");
-
-	/**
-	 * The name of this gateway among its peers.
-	 */
-	private String self = "";
-
 	/**
 	 * The store.
 	 */
@@ -273,11 +237,6 @@
 	 */
 	private long endingSince;
 
-	/**
-	 * When reports were last sent, in milliseconds.
-	 */
-	private long reportedAt;
-
 	/**
 	 * When silent upstreams were last checked, in milliseconds.
 	 */
@@ -306,6 +265,7 @@
 		this.freshness = new Freshness(clock, wall);
 		this.retries = new RetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis());
 		this.shares = new OrganisationShares(settings.shareWindowMillis());
+		this.peering = new Peering(clock, log, this.beliefs, this.shares);
 		this.callers = new CallerServer(clock, () -> catalog().map(Catalog::limits).orElse(CallerLimits.DEFAULT),
 				(request, responder) -> new Exchange(this, request, responder).start(), this::improper);
 	}
@@ -318,12 +278,8 @@
 		Map<String, InetSocketAddress> bound = new HashMap<>();
 		bound.put("readiness", listen(this.settings.readiness(), new OperatorServer(this::readinessPage)));
 		bound.put("metrics", listen(this.settings.metrics(), new OperatorServer(this::metricsPage)));
-		InetSocketAddress peerAddress = this.peers.open(this.group, this.settings.peers());
-		bound.put("peers", peerAddress);
+		bound.put("peers", this.peering.open(this.group, this.settings.peers()));
 		bound.put("callers", listen(this.settings.callers(), this.callers));
-		this.self = peerAddress.getAddress().getHostAddress() + ":" + peerAddress.getPort();
-		this.roster = new RouterRoster(this.self);
-		this.names = List.of(this.self);
 		this.store = this.adapter.store(this.calls, this.settings.store());
 		gauges();
 		this.loop.execute(this::begin);
@@ -363,8 +319,9 @@
 		feed(new StoreFeed.Plan(StoreTopic.UPSTREAMS, 0, UPSTREAMS_PAUSE_MILLIS), new Freshness(this.clock, this.wall),
 				new Listener(this.beliefs::upstreamsNewest, this.beliefs::upstreamRecord));
 		feed(new StoreFeed.Plan(StoreTopic.GATEWAYS, GATEWAYS_WAIT_MILLIS, 0), new Freshness(this.clock, this.wall),
-				new Listener((batch) -> batch.records().forEach(this::announcement), this::announcement));
-		announce();
+				new Listener((batch) -> batch.records().forEach(this.peering::announcement),
+						this.peering::announcement));
+		this.peering.announce(this.loop, this.store, this.settings.name());
 		this.loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
@@ -374,51 +331,6 @@
 		feed.readNow();
 	}
 
-	private void announce() {
-		if (this.endingSince > 0) {
-			return;
-		}
-		this.store
-			.append(StoreTopic.GATEWAYS, this.self,
-					Optional.of(this.settings.name().getBytes(StandardCharsets.US_ASCII)))
-			.whenComplete((done, failure) -> {
-				if (failure != null) {
-					this.loop.schedule(this::announce, 1, TimeUnit.SECONDS);
-				}
-			});
-	}
-
-	private void announcement(StoreRecord record) {
-		int colon = record.key().lastIndexOf(':');
-		if (record.value().isEmpty()) {
-			this.roster.withdrawn(record.key());
-		}
-		else if (colon > 0 && record.key().substring(colon + 1).matches("[0-9]{1,5}")) {
-			this.roster.announced(record.key(), record.key().substring(0, colon),
-					Integer.parseInt(record.key().substring(colon + 1)), this.clock.millis());
-		}
-		renewNames();
-	}
-
-	private void renewNames() {
-		List<String> now = this.roster.names(this.clock.millis());
-		if (now.size() != this.names.size()) {
-			this.log.write(LogLine.of(GatewayEvent.PEER).with("gateways", now.size()));
-		}
-		this.names = now;
-	}
-
-	private void reported(PeerReport report) {
-		long now = this.clock.millis();
-		this.roster.heard(report.name(), now);
-		this.peerAges.put(report.name(), new long[] { report.catalogAge(), now });
-		this.shares.peer(report.name(), report.usages(), now);
-		this.beliefs.upstreams().forEach((upstream) -> {
-			Load load = report.loads().getOrDefault(upstream.state().hash(), Load.NONE);
-			upstream.state().peer(report.name(), load, now);
-		});
-	}
-
 	private Upstream upstream(UpstreamEntry entry) {
 		ServiceState service = service(entry.service());
 		UpstreamState state = new UpstreamState(entry,
@@ -443,14 +355,9 @@
 			diverged();
 		}
 		this.beliefs.expire();
-		renewNames();
 		this.beliefs.upstreams().forEach((upstream) -> check(upstream, now));
 		this.callers.check(this.endingSince > 0 && now - this.endingSince > BALANCER_MILLIS);
-		long pause = REPORT_MILLIS * Math.max(1, this.names.size() / FEW_PEERS);
-		if (now - this.reportedAt >= pause) {
-			this.reportedAt = now;
-			report(now);
-		}
+		this.peering.tick(catalogAge());
 		if (now - this.probedAt >= PROBE_MILLIS) {
 			this.probedAt = now;
 			this.beliefs.upstreams().forEach(this::probe);
@@ -491,20 +398,6 @@
 			});
 	}
 
-	private void report(long now) {
-		Map<Long, Load> loads = new HashMap<>();
-		for (Upstream upstream : this.beliefs.upstreams()) {
-			if (upstream.state().own().running() > 0 && loads.size() < PeerReport.GREATEST_ENTRIES) {
-				loads.put(upstream.state().hash(), upstream.state().own());
-			}
-		}
-		byte[] bytes = new PeerReport(this.self, (int) Math.min(catalogAge(), Integer.MAX_VALUE), loads,
-				this.shares.own(PeerReport.GREATEST_ENTRIES, now))
-			.encode();
-		this.roster.peers(now)
-			.forEach((peer) -> this.peers.send(bytes, new InetSocketAddress(peer.host(), peer.port())));
-	}
-
 	private void readiness() {
 		String reason = unreadyReason();
 		if (reason.isEmpty() != this.ready) {
@@ -523,17 +416,14 @@
 		if (!this.beliefs.complete()) {
 			return "the configuration or the upstreams are not known";
 		}
-		if (catalogAge() > READY_AGE_MILLIS && peerIsYounger()) {
+		if (catalogAge() > READY_AGE_MILLIS && newerElsewhere()) {
 			return "the configuration is older than a peer's";
 		}
 		return "";
 	}
 
-	private boolean peerIsYounger() {
-		long now = this.clock.millis();
-		return catalogAge() == Freshness.NEVER || this.peerAges.values()
-			.stream()
-			.anyMatch((age) -> now - age[1] < READY_AGE_MILLIS && age[0] + now - age[1] < READY_AGE_MILLIS);
+	private boolean newerElsewhere() {
+		return catalogAge() == Freshness.NEVER || this.peering.anyYounger(READY_AGE_MILLIS);
 	}
 
 	private OperatorServer.Page readinessPage(String path) {
@@ -563,7 +453,7 @@
 			this.log.write(LogLine.of(GatewayEvent.STOPPING).with("open", this.callers.busy()));
 			readiness();
 			this.callers.end();
-			this.store.append(StoreTopic.GATEWAYS, this.self, Optional.empty());
+			this.peering.withdraw(this.store);
 			awaitEnd(ended);
 		});
 		return ended;
@@ -665,7 +555,8 @@
 			return true;
 		}
 		double limit = rate * this.settings.coldFactor() + this.settings.coldSlack();
-		return state.coldRequests(now) < ColdAllowance.of(state.entry().id(), limit, this.self, this.names);
+		return state.coldRequests(now) < ColdAllowance.of(state.entry().id(), limit, this.peering.self(),
+				this.peering.names());
 	}
 
 	@Override
@@ -680,7 +571,7 @@
 
 	@Override
 	public int routers() {
-		return this.names.size();
+		return this.peering.names().size();
 	}
 
 	@Override
--- /dev/null
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
@@ -0,0 +1,216 @@
+package org.ebonyford.gateway.process;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.EventExecutor;
+
+import org.ebonyford.directory.RouterRoster;
+import org.ebonyford.gateway.exchange.Upstream;
+import org.ebonyford.gateway.log.EventLog;
+import org.ebonyford.gateway.log.GatewayEvent;
+import org.ebonyford.gateway.log.LogLine;
+import org.ebonyford.gateway.peer.PeerExchange;
+import org.ebonyford.gateway.peer.PeerReport;
+import org.ebonyford.gateway.store.MetadataStore;
+import org.ebonyford.gateway.store.StoreRecord;
+import org.ebonyford.gateway.store.StoreTopic;
+import org.ebonyford.placement.Load;
+import org.ebonyford.share.OrganisationShares;
+import org.ebonyford.time.Clock;
+
+/**
+ * What a gateway has to do with the others: it announces itself in the store, finds them
+ * there, and exchanges reports with them.
+ */
+final class Peering {
+
+	/**
+	 * The time in milliseconds between two reports to a peer among few peers.
+	 */
+	private static final long REPORT_MILLIS = 200;
+
+	/**
+	 * The number of peers up to which reports come that often; beyond it the pause grows
+	 * with their number, so that reports cost the same a second.
+	 */
+	private static final int FEW_PEERS = 10;
+
+	/**
+	 * The age in milliseconds up to which a report tells the age of the peer's
+	 * configuration.
+	 */
+	private static final long RECENT_MILLIS = 2_500;
+
+	/**
+	 * The clock.
+	 */
+	private final Clock clock;
+
+	/**
+	 * The log.
+	 */
+	private final EventLog log;
+
+	/**
+	 * The upstreams whose load is exchanged.
+	 */
+	private final Beliefs beliefs;
+
+	/**
+	 * The shares of organisations.
+	 */
+	private final OrganisationShares shares;
+
+	/**
+	 * The reports.
+	 */
+	private final PeerExchange reports = new PeerExchange(this::reported);
+
+	/**
+	 * The age of each peer's configuration in milliseconds, and when it was told.
+	 */
+	private final Map<String, long[]> ages = new HashMap<>();
+
+	/**
+	 * The other gateways.
+	 */
+	private RouterRoster roster = new RouterRoster("");
+
+	/**
+	 * The names of the gateways that may be alive, this one first.
+	 */
+	private List<String> names = List.of("");
+
+	/**
+	 * Whether this gateway has withdrawn its announcement.
+	 */
+	private boolean withdrawn;
+
+	/**
+	 * When reports were last sent, in milliseconds.
+	 */
+	private long reportedAt;
+
+	Peering(Clock clock, EventLog log, Beliefs beliefs, OrganisationShares shares) {
+		this.clock = clock;
+		this.log = log;
+		this.beliefs = beliefs;
+		this.shares = shares;
+	}
+
+	InetSocketAddress open(EventLoopGroup group, InetSocketAddress address) {
+		InetSocketAddress bound = this.reports.open(group, address);
+		String self = bound.getAddress().getHostAddress() + ":" + bound.getPort();
+		this.roster = new RouterRoster(self);
+		this.names = List.of(self);
+		return bound;
+	}
+
+	/**
+	 * Returns the name of this gateway, which is the address at which peers reach it.
+	 * @return the name
+	 */
+	String self() {
+		return this.names.get(0);
+	}
+
+	/**
+	 * Returns the names of the gateways that may be alive.
+	 * @return the names, that of this gateway first
+	 */
+	List<String> names() {
+		return this.names;
+	}
+
+	void announce(EventExecutor loop, MetadataStore store, String name) {
+		if (this.withdrawn) {
+			return;
+		}
+		byte[] value = name.getBytes(StandardCharsets.US_ASCII);
+		store.append(StoreTopic.GATEWAYS, self(), Optional.of(value)).whenComplete((done, failure) -> {
+			if (failure != null) {
+				loop.schedule(() -> announce(loop, store, name), 1, TimeUnit.SECONDS);
+			}
+		});
+	}
+
+	void withdraw(MetadataStore store) {
+		this.withdrawn = true;
+		store.append(StoreTopic.GATEWAYS, self(), Optional.empty());
+	}
+
+	void announcement(StoreRecord record) {
+		int colon = record.key().lastIndexOf(':');
+		if (record.value().isEmpty()) {
+			this.roster.withdrawn(record.key());
+		}
+		else if (colon > 0 && record.key().substring(colon + 1).matches("[0-9]{1,5}")) {
+			this.roster.announced(record.key(), record.key().substring(0, colon),
+					Integer.parseInt(record.key().substring(colon + 1)), this.clock.millis());
+		}
+		renewNames();
+	}
+
+	/**
+	 * Sends a report if it is time.
+	 * @param catalogAge the age of the configuration in milliseconds
+	 */
+	void tick(long catalogAge) {
+		renewNames();
+		long now = this.clock.millis();
+		if (now - this.reportedAt < REPORT_MILLIS * Math.max(1, this.names.size() / FEW_PEERS)) {
+			return;
+		}
+		this.reportedAt = now;
+		Map<Long, Load> loads = new HashMap<>();
+		for (Upstream upstream : this.beliefs.upstreams()) {
+			if (upstream.state().own().running() > 0 && loads.size() < PeerReport.GREATEST_ENTRIES) {
+				loads.put(upstream.state().hash(), upstream.state().own());
+			}
+		}
+		byte[] bytes = new PeerReport(self(), (int) Math.min(catalogAge, Integer.MAX_VALUE), loads,
+				this.shares.own(PeerReport.GREATEST_ENTRIES, now))
+			.encode();
+		this.roster.peers(now)
+			.forEach((peer) -> this.reports.send(bytes, new InetSocketAddress(peer.host(), peer.port())));
+	}
+
+	/**
+	 * Returns whether a peer's configuration is young.
+	 * @param ageMillis the age in milliseconds up to which it is
+	 * @return {@code true} if a peer has told so lately
+	 */
+	boolean anyYounger(long ageMillis) {
+		long now = this.clock.millis();
+		return this.ages.values()
+			.stream()
+			.anyMatch((age) -> now - age[1] < RECENT_MILLIS && age[0] + now - age[1] < ageMillis);
+	}
+
+	private void reported(PeerReport report) {
+		long now = this.clock.millis();
+		this.roster.heard(report.name(), now);
+		this.ages.put(report.name(), new long[] { report.catalogAge(), now });
+		this.shares.peer(report.name(), report.usages(), now);
+		this.beliefs.upstreams().forEach((upstream) -> {
+			Load load = report.loads().getOrDefault(upstream.state().hash(), Load.NONE);
+			upstream.state().peer(report.name(), load, now);
+		});
+	}
+
+	private void renewNames() {
+		List<String> now = this.roster.names(this.clock.millis());
+		if (now.size() != this.names.size()) {
+			this.log.write(LogLine.of(GatewayEvent.PEER).with("gateways", now.size()));
+		}
+		this.names = now;
+	}
+
+}
