--- a/ebonyford/src/test/java/org/ebonyford/placement/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -1,7 +1,6 @@
-package org.ebonyford.placement;
+package org.ebonyford.benchmark.engine;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -9,9 +8,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
-import java.util.Random;
 
 import org.ebonyford.directory.UpstreamEntry;
+import org.ebonyford.placement.Admission;
+import org.ebonyford.placement.Choice;
+import org.ebonyford.placement.Load;
+import org.ebonyford.placement.ServicePace;
+import org.ebonyford.placement.Terms;
+import org.ebonyford.placement.UpstreamState;
+import org.ebonyford.placement.Work;
 import org.ebonyford.share.OrganisationShares;
 import org.ebonyford.share.Usage;
 
@@ -20,33 +25,75 @@
  * prompt after the other, keeps the parts that it read, and runs a bounded number of
  * requests; routers know their own requests at once and those of others with a delay.
  */
-final class EngineFleet {
+public final class EngineFleet {
 
+	/**
+	 * The prompt tokens that an engine reads in a millisecond, as on the users' sheets.
+	 */
 	private static final double TOKENS_PER_MILLI = 100;
 
+	/**
+	 * The time in milliseconds from the end of reading to the first event.
+	 */
 	private static final long FIRST_MILLIS = 60;
 
+	/**
+	 * The time in milliseconds for a generated token at a usual batch.
+	 */
 	private static final double MILLIS_PER_OUTPUT_TOKEN = 9;
 
+	/**
+	 * The requests that an engine runs at once.
+	 */
 	private static final int SLOTS = 64;
 
+	/**
+	 * The tokens for which an engine has memory.
+	 */
 	private static final long MEMORY_TOKENS = 500_000;
 
+	/**
+	 * The time in milliseconds between two reports of a router.
+	 */
 	private static final long REPORT_MILLIS = 200;
 
+	/**
+	 * What the routers decide by.
+	 */
 	private final Policy policy;
 
+	/**
+	 * The engines.
+	 */
 	private final List<Engine> engines = new ArrayList<>();
 
+	/**
+	 * The routers.
+	 */
 	private final List<Router> routers = new ArrayList<>();
 
+	/**
+	 * What happens, the earliest first.
+	 */
 	private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at));
 
+	/**
+	 * The outcomes by organisation.
+	 */
 	private final Map<Integer, Outcome> outcomes = new HashMap<>();
 
+	/**
+	 * The shared tokens that were read again.
+	 */
 	private long rereadTokens;
 
-	EngineFleet(int engineCount, int routerCount, Policy policy) {
+	/**
+	 * Creates a fleet that is idle.
+	 * @param engineCount the number of engines
+	 * @param routerCount the number of routers
+	 * @param policy what the routers decide by
+	 */
+	public EngineFleet(int engineCount, int routerCount, Policy policy) {
 		this.policy = policy;
 		for (int index = 0; index < engineCount; index++) {
 			this.engines.add(new Engine("engine-" + index));
@@ -56,7 +103,12 @@
 		}
 	}
 
-	EngineFleet play(List<Request> load) {
+	/**
+	 * Plays a load to its end.
+	 * @param load the requests in the order of their arrival
+	 * @return this fleet
+	 */
+	public EngineFleet play(List<Request> load) {
 		load.forEach((request) -> this.events.add(new Event(request.at(), () -> arrive(request))));
 		long end = load.get(load.size() - 1).at();
 		for (long at = REPORT_MILLIS; at < end; at += REPORT_MILLIS) {
@@ -69,32 +121,46 @@
 		return this;
 	}
 
-	Outcome outcome(int organisation) {
+	/**
+	 * Returns what became of an organisation's requests.
+	 * @param organisation the organisation
+	 * @return the outcome
+	 */
+	public Outcome outcome(int organisation) {
 		return this.outcomes.computeIfAbsent(organisation, (key) -> new Outcome());
 	}
 
-	double onTime() {
-		double asked = this.outcomes.values().stream().mapToInt((outcome) -> outcome.asked).sum();
-		return this.outcomes.values().stream().mapToInt((outcome) -> outcome.onTime).sum() / asked;
+	/**
+	 * Returns the part of all requests whose answer began within the latency target.
+	 * @return the part, from 0 to 1
+	 */
+	public double onTime() {
+		double asked = this.outcomes.values().stream().mapToInt(Outcome::asked).sum();
+		return this.outcomes.values().stream().mapToInt(Outcome::onTime).sum() / asked;
 	}
 
-	long rereadTokens() {
+	/**
+	 * Returns the shared tokens that were read again though another engine kept them.
+	 * @return the number of tokens
+	 */
+	public long rereadTokens() {
 		return this.rereadTokens;
 	}
 
 	private void arrive(Request request) {
 		Router router = this.routers.get(request.router() % this.routers.size());
 		Outcome outcome = outcome(request.organisation());
-		outcome.asked++;
+		outcome.hasAsked();
 		long now = request.at();
 		long tokens = request.work().shareTokens();
 		router.shares.asked(request.organisation(), tokens, now);
 		double used = router.shares.used(request.organisation(), now);
 		double limit = Admission.limitMillis(request.targetMillis(), used, 10_000);
-		Optional<Choice> choice = this.policy.choose(router.pace, request.work(), router.states.values(),
-				new Terms(limit, used <= 1), now);
+		Optional<Choice> choice = this.policy
+			.choose(new Policy.Scene(router.pace, request.work(), router.states.values(), new Terms(limit, used <= 1),
+					now, (state) -> engine(state).begins(request.work(), now)));
 		if (choice.isEmpty() || !this.policy.takes(choice.get(), limit)) {
-			outcome.refused++;
+			outcome.hasRefused();
 			return;
 		}
 		router.shares.served(request.organisation(), tokens, now);
@@ -103,10 +169,7 @@
 
 	private void send(Request request, Router router, Choice choice, long now) {
 		UpstreamState state = choice.upstream();
-		Engine engine = this.engines.stream()
-			.filter((candidate) -> candidate.name.equals(state.entry().id()))
-			.findFirst()
-			.orElseThrow();
+		Engine engine = engine(state);
 		Load load = new Load(1, choice.unread(), request.work().memoryTokens());
 		state.sent(load, now);
 		long first = engine.run(request.work(), now);
@@ -124,6 +187,13 @@
 		}));
 	}
 
+	private Engine engine(UpstreamState state) {
+		return this.engines.stream()
+			.filter((candidate) -> candidate.name.equals(state.entry().id()))
+			.findFirst()
+			.orElseThrow();
+	}
+
 	private void report(long now) {
 		for (Router sender : this.routers) {
 			Map<Integer, Usage> usage = sender.shares.own(40, now);
@@ -138,121 +208,11 @@
 	}
 
 	/**
-	 * Decides where a request goes and whether it is taken.
+	 * Something that happens.
+	 *
+	 * @param at when, in milliseconds
+	 * @param action what
 	 */
-	interface Policy {
-
-		Optional<Choice> choose(ServicePace pace, Work work, Collection<UpstreamState> candidates, Terms terms,
-				long now);
-
-		boolean takes(Choice choice, double limitMillis);
-
-		/**
-		 * The product's decisions.
-		 */
-		enum Product implements Policy {
-
-			INSTANCE;
-
-			@Override
-			public Optional<Choice> choose(ServicePace pace, Work work, Collection<UpstreamState> candidates,
-					Terms terms, long now) {
-				return new Placement.ForEngines("dc", pace).choose(work, candidates, terms, now);
-			}
-
-			@Override
-			public boolean takes(Choice choice, double limitMillis) {
-				return Admission.takes(choice, limitMillis);
-			}
-
-		}
-
-		/**
-		 * The engine with the fewest requests, and nothing is refused.
-		 */
-		enum FewestRequests implements Policy {
-
-			INSTANCE;
-
-			@Override
-			public Optional<Choice> choose(ServicePace pace, Work work, Collection<UpstreamState> candidates,
-					Terms terms, long now) {
-				return candidates.stream()
-					.min(Comparator.comparingInt((UpstreamState state) -> state.total(now).running()))
-					.map((state) -> new Choice(state, 0, 0, work.promptTokens(), 0, false));
-			}
-
-			@Override
-			public boolean takes(Choice choice, double limitMillis) {
-				return true;
-			}
-
-		}
-
-	}
-
-	/**
-	 * A request of the load.
-	 */
-	record Request(long at, int router, int organisation, Work work, double targetMillis) {
-
-		/**
-		 * Draws requests whose prompts share a subject.
-		 */
-		static List<Request> draw(long seed, long millis, double perSecond, int[] organisations, int subjects) {
-			Random random = new Random(seed);
-			List<Request> load = new ArrayList<>();
-			double at = 0;
-			while (at < millis) {
-				at += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
-				int own = (int) Math.min(400 + random.nextDouble() * 6_000, 6_000);
-				int subject = random.nextInt(subjects);
-				Work work = Work.of(List.of(new PromptPart(subject % 3, 500), new PromptPart(100 + subject, 4_900),
-						new PromptPart(random.nextLong(), own)), 5_400 + own, 200 + random.nextInt(200));
-				load.add(new Request((long) at, random.nextInt(100),
-						organisations[random.nextInt(organisations.length)], work, 600));
-			}
-			return load;
-		}
-
-	}
-
-	/**
-	 * What became of an organisation's requests.
-	 */
-	static final class Outcome {
-
-		private int asked;
-
-		private int refused;
-
-		private int begun;
-
-		private int onTime;
-
-		int asked() {
-			return this.asked;
-		}
-
-		int refused() {
-			return this.refused;
-		}
-
-		int begun() {
-			return this.begun;
-		}
-
-		int onTime() {
-			return this.onTime;
-		}
-
-		private void began(boolean inTime) {
-			this.begun++;
-			this.onTime += inTime ? 1 : 0;
-		}
-
-	}
-
 	private record Event(long at, Runnable action) {
 	}
 
@@ -261,12 +221,24 @@
 	 */
 	private final class Router {
 
+		/**
+		 * The name.
+		 */
 		private final String name;
 
+		/**
+		 * How fast the router believes engines to work.
+		 */
 		private final ServicePace pace = new ServicePace();
 
+		/**
+		 * The shares of organisations.
+		 */
 		private final OrganisationShares shares = new OrganisationShares(4_000);
 
+		/**
+		 * The engines as the router knows them.
+		 */
 		private final Map<String, UpstreamState> states = new HashMap<>();
 
 		Router(String name) {
@@ -285,14 +257,29 @@
 	 */
 	private final class Engine {
 
+		/**
+		 * The name.
+		 */
 		private final String name;
 
+		/**
+		 * The parts that the engine keeps, least recently used first.
+		 */
 		private final Map<Long, Integer> kept = new LinkedHashMap<>(16, 0.75f, true);
 
+		/**
+		 * When the running requests end, in milliseconds.
+		 */
 		private final PriorityQueue<Long> ends = new PriorityQueue<>();
 
+		/**
+		 * The tokens of the kept parts.
+		 */
 		private long keptTokens;
 
+		/**
+		 * When all prompts that were sent are read, in milliseconds.
+		 */
 		private double readUntil;
 
 		Engine(String name) {
@@ -311,11 +298,21 @@
 			return (long) this.readUntil + FIRST_MILLIS;
 		}
 
-		private int read(Work work) {
+		double begins(Work work, long now) {
+			long full = (this.ends.size() >= SLOTS) ? Math.max(this.ends.peek() - now, 0) : 0;
+			return Math.max(this.readUntil - now, full) + unread(work) / TOKENS_PER_MILLI + FIRST_MILLIS;
+		}
+
+		private int unread(Work work) {
 			int unread = work.promptTokens();
 			for (int index = 0; index < work.chain().length && this.kept.get(work.chain()[index]) != null; index++) {
 				unread -= work.parts().get(index).tokens();
 			}
+			return unread;
+		}
+
+		private int read(Work work) {
+			int unread = unread(work);
 			int shared = work.sharedTokens();
 			int missing = Math.max(unread - (work.promptTokens() - shared), 0);
 			boolean elsewhere = EngineFleet.this.engines.stream()
--- /dev/null
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Policy.java
@@ -0,0 +1,150 @@
+package org.ebonyford.benchmark.engine;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.ToDoubleFunction;
+
+import org.ebonyford.placement.Admission;
+import org.ebonyford.placement.Choice;
+import org.ebonyford.placement.Placement;
+import org.ebonyford.placement.ServicePace;
+import org.ebonyford.placement.Terms;
+import org.ebonyford.placement.UpstreamState;
+import org.ebonyford.placement.Work;
+
+/**
+ * Decides where a request goes and whether it is taken.
+ */
+public interface Policy {
+
+	/**
+	 * Chooses an engine.
+	 * @param scene what is known
+	 * @return the engine, or empty if there is none with room
+	 */
+	Optional<Choice> choose(Scene scene);
+
+	/**
+	 * Returns whether a request is taken.
+	 * @param choice the engine chosen for it
+	 * @param limitMillis the time in milliseconds within which its first byte should come
+	 * @return {@code true} if it is sent
+	 */
+	boolean takes(Choice choice, double limitMillis);
+
+	/**
+	 * What is known when a request is placed.
+	 *
+	 * @param pace how fast the engines are believed to work
+	 * @param work the work of the request
+	 * @param candidates the engines as the router knows them
+	 * @param terms the terms of the request
+	 * @param now the time in milliseconds
+	 * @param truth when an engine would really begin the answer, in milliseconds from now
+	 */
+	record Scene(ServicePace pace, Work work, Collection<UpstreamState> candidates, Terms terms, long now,
+			ToDoubleFunction<UpstreamState> truth) {
+	}
+
+	/**
+	 * The product's decisions.
+	 */
+	enum ForProduct implements Policy {
+
+		/**
+		 * The singleton instance.
+		 */
+		INSTANCE;
+
+		@Override
+		public Optional<Choice> choose(Scene scene) {
+			return new Placement.ForEngines("dc", scene.pace()).choose(scene.work(), scene.candidates(), scene.terms(),
+					scene.now());
+		}
+
+		@Override
+		public boolean takes(Choice choice, double limitMillis) {
+			return Admission.takes(choice, limitMillis);
+		}
+
+	}
+
+	/**
+	 * The engine that is expected to begin first, wherever the prompt is kept; requests
+	 * are refused as the product does.
+	 */
+	enum ForSoonest implements Policy {
+
+		/**
+		 * The singleton instance.
+		 */
+		INSTANCE;
+
+		@Override
+		public Optional<Choice> choose(Scene scene) {
+			Work alone = Work.of(List.of(), scene.work().promptTokens(), scene.work().outputTokens());
+			return new Placement.ForEngines("dc", scene.pace()).choose(alone, scene.candidates(), scene.terms(),
+					scene.now());
+		}
+
+		@Override
+		public boolean takes(Choice choice, double limitMillis) {
+			return Admission.takes(choice, limitMillis);
+		}
+
+	}
+
+	/**
+	 * The engine with the fewest requests, and nothing is refused.
+	 */
+	enum ForFewestRequests implements Policy {
+
+		/**
+		 * The singleton instance.
+		 */
+		INSTANCE;
+
+		@Override
+		public Optional<Choice> choose(Scene scene) {
+			return scene.candidates()
+				.stream()
+				.min(Comparator.comparingInt((UpstreamState state) -> state.total(scene.now()).running()))
+				.map((state) -> new Choice(state, 0, 0, scene.work().promptTokens(), 0, false));
+		}
+
+		@Override
+		public boolean takes(Choice choice, double limitMillis) {
+			return true;
+		}
+
+	}
+
+	/**
+	 * Knows when each engine would really begin the answer, and refuses what would be
+	 * late.
+	 */
+	enum ForOracle implements Policy {
+
+		/**
+		 * The singleton instance.
+		 */
+		INSTANCE;
+
+		@Override
+		public Optional<Choice> choose(Scene scene) {
+			return scene.candidates()
+				.stream()
+				.min(Comparator.comparingDouble(scene.truth()))
+				.map((state) -> new Choice(state, scene.truth().applyAsDouble(state), Double.MAX_VALUE, 0, 0, false));
+		}
+
+		@Override
+		public boolean takes(Choice choice, double limitMillis) {
+			return choice.firstMillis() <= limitMillis;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Request.java
@@ -0,0 +1,46 @@
+package org.ebonyford.benchmark.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+import org.ebonyford.placement.PromptPart;
+import org.ebonyford.placement.Work;
+
+/**
+ * A request of a load.
+ *
+ * @param at when it arrives, in milliseconds
+ * @param router a number that chooses its router
+ * @param organisation its organisation
+ * @param work its work
+ * @param targetMillis the latency target in milliseconds
+ */
+public record Request(long at, int router, int organisation, Work work, double targetMillis) {
+
+	/**
+	 * Draws requests whose prompts share a subject.
+	 * @param seed the seed
+	 * @param millis the length of the load in milliseconds
+	 * @param perSecond the mean number of requests a second
+	 * @param organisations the organisations, each as often as its part of the load
+	 * @param subjects the number of subjects
+	 * @return the requests in the order of their arrival
+	 */
+	public static List<Request> draw(long seed, long millis, double perSecond, int[] organisations, int subjects) {
+		Random random = new Random(seed);
+		List<Request> load = new ArrayList<>();
+		double at = 0;
+		while (at < millis) {
+			at += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+			int own = (int) Math.min(400 + random.nextDouble() * 6_000, 6_000);
+			int subject = random.nextInt(subjects);
+			Work work = Work.of(List.of(new PromptPart(subject % 3, 500), new PromptPart(100 + subject, 4_900),
+					new PromptPart(random.nextLong(), own)), 5_400 + own, 200 + random.nextInt(200));
+			load.add(new Request((long) at, random.nextInt(100), organisations[random.nextInt(organisations.length)],
+					work, 600));
+		}
+		return load;
+	}
+
+}
--- a/ebonyford/src/test/java/org/ebonyford/placement/HeavyLoadTest.java
+++ b/ebonyford-benchmark/src/test/java/org/ebonyford/benchmark/engine/HeavyLoadTest.java
@@ -1,13 +1,10 @@
-package org.ebonyford.placement;
+package org.ebonyford.benchmark.engine;
 
 import java.util.List;
 
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import org.ebonyford.placement.EngineFleet.Policy;
-import org.ebonyford.placement.EngineFleet.Request;
-
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -28,22 +25,22 @@
 	@Test(dataProvider = "seeds")
 	public void testSharedPartsAreReadOnFewEngines(long seed) {
 		List<Request> load = Request.draw(seed, 20_000, 70, EVEN, 100);
-		long product = new EngineFleet(6, 6, Policy.Product.INSTANCE).play(load).rereadTokens();
-		long naive = new EngineFleet(6, 6, Policy.FewestRequests.INSTANCE).play(load).rereadTokens();
+		long product = new EngineFleet(6, 6, Policy.ForProduct.INSTANCE).play(load).rereadTokens();
+		long naive = new EngineFleet(6, 6, Policy.ForFewestRequests.INSTANCE).play(load).rereadTokens();
 		assertTrue(product < naive / 2, product + " tokens read again, " + naive + " without homes");
 	}
 
 	@Test(dataProvider = "seeds")
 	public void testMoreIsOnTimeThanWithoutRefusals(long seed) {
 		List<Request> load = Request.draw(seed, 20_000, 130, EVEN, 100);
-		double product = new EngineFleet(6, 6, Policy.Product.INSTANCE).play(load).onTime();
-		double naive = new EngineFleet(6, 6, Policy.FewestRequests.INSTANCE).play(load).onTime();
+		double product = new EngineFleet(6, 6, Policy.ForProduct.INSTANCE).play(load).onTime();
+		double naive = new EngineFleet(6, 6, Policy.ForFewestRequests.INSTANCE).play(load).onTime();
 		assertTrue(product > naive, "on time " + product + ", " + naive + " without refusals and homes");
 	}
 
 	@Test(dataProvider = "seeds")
 	public void testLargeOrganisationDoesNotDisplaceTheOthers(long seed) {
-		EngineFleet fleet = new EngineFleet(6, 6, Policy.Product.INSTANCE)
+		EngineFleet fleet = new EngineFleet(6, 6, Policy.ForProduct.INSTANCE)
 			.play(Request.draw(seed, 20_000, 160, ONE_LARGE, 100));
 		double large = share(fleet, 1);
 		for (int organisation = 2; organisation <= 8; organisation++) {
@@ -55,7 +52,7 @@
 
 	@Test(dataProvider = "seeds")
 	public void testNothingIsRefusedWhileThereIsRoom(long seed) {
-		EngineFleet fleet = new EngineFleet(6, 6, Policy.Product.INSTANCE)
+		EngineFleet fleet = new EngineFleet(6, 6, Policy.ForProduct.INSTANCE)
 			.play(Request.draw(seed, 20_000, 25, ONE_LARGE, 100));
 		assertTrue(fleet.outcome(1).refused() == 0, fleet.outcome(1).refused() + " of " + fleet.outcome(1).asked());
 	}
