Send a stream whose first event is lost to another engine

Ruled out: a hung engine, the budget of repeats. Change: 2 s, or four times the expected time, and then another engine. Before: PatienceTest.testStreamWhoseAnswerIsLostIsSentElsewhere red. After: green.

--- a/ebonyford/src/main/java/org/ebonyford/placement/Patience.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Patience.java
@@ -28,6 +28,18 @@
 	 */
 	private static final long STREAM_MILLIS = 1_200;
 
+	/**
+	 * How many times the expected time a stream waits for its first event at an upstream
+	 * that answers other requests: it may be queued there.
+	 */
+	private static final double QUEUED_FACTOR = 4;
+
+	/**
+	 * The least time in milliseconds that it waits there, after which its answer counts
+	 * as lost: callers do not wait much longer for a first event.
+	 */
+	private static final long QUEUED_MILLIS = 2_000;
+
 	private Patience() {
 	}
 
@@ -52,9 +64,13 @@
 	 */
 	public static boolean endsForStream(long silentMillis, double firstMillis, boolean begun,
 			long upstreamSilentMillis) {
-		double first = begun ? 0 : STREAM_FACTOR * firstMillis;
+		if (begun) {
+			return silentMillis > STREAM_MILLIS;
+		}
 		boolean hung = upstreamSilentMillis > STREAM_MILLIS;
-		return silentMillis > Math.max(STREAM_MILLIS, first) && (hung || begun);
+		double patience = hung ? Math.max(STREAM_MILLIS, STREAM_FACTOR * firstMillis)
+				: Math.max(QUEUED_MILLIS, QUEUED_FACTOR * firstMillis);
+		return silentMillis > patience;
 	}
 
 }
