Give each test JVM a range of ports by a guard that it holds

Cause: with three test JVMs ServedEndToEndTest failed 4 of 6 (callers were answered, but its stand-ins had seen no request): the property that should number the JVMs did not reach them, so that all took ports of one range and routers of one site spoke to the stand-ins of another. Ruled out: the router (9 answers were right, of another site's upstreams). Change: whoever listens at the first port of a range owns it; no number is needed.

--- a/ebonyford-emulator/src/main/java/org/ebonyford/emulator/process/Ports.java
+++ b/ebonyford-emulator/src/main/java/org/ebonyford/emulator/process/Ports.java
@@ -8,35 +8,37 @@
 /**
  * Chooses ports that are free, none of them twice. They lie below the range from which
  * the system takes the ports of outgoing connections, so that a process can be started
- * again at its port however many connections were made meanwhile. Test JVMs that run
- * beside each other take theirs from ranges of their own.
+ * again at its port however many connections were made meanwhile. JVMs that run beside
+ * each other take theirs from ranges of their own: whoever listens at the first port of a
+ * range owns the range.
  */
 public final class Ports {
 
 	/**
-	 * The system property in which the test runner numbers its JVMs from 1.
+	 * The first port of the first range. Lower ports often belong to other programs.
 	 */
-	private static final String FORK_NUMBER = "surefire.forkNumber";
+	private static final int LOWEST = 10_000;
 
 	/**
-	 * The lowest port of the first range. Lower ports often belong to other programs.
+	 * The number of ports in a range: several times those of all sites that a test JVM
+	 * starts.
 	 */
-	private static final int LOWEST = 10_000;
+	private static final int RANGE = 2_000;
 
 	/**
-	 * The number of ports in a range.
+	 * The number of ranges that fit below port 32768, where outgoing ports start.
 	 */
-	private static final int RANGE = 4_000;
+	private static final int RANGES = 11;
 
 	/**
-	 * The number of ranges that fit below port 32768, where outgoing ports start.
+	 * Listens at the first port of this JVM's range for as long as the JVM lives.
 	 */
-	private static final int RANGES = 5;
+	private static ServerSocket guard;
 
 	/**
-	 * The number of ports that were tried already.
+	 * The port that is tried next.
 	 */
-	private static int tried;
+	private static int next;
 
 	private Ports() {
 	}
@@ -44,26 +46,46 @@
 	/**
 	 * Chooses a port of the loopback address.
 	 * @return a port that was free at the moment of the call
-	 * @throws IllegalStateException if no port of the range is left
+	 * @throws IllegalStateException if no port is left
 	 */
 	public static synchronized int choose() {
-		int first = LOWEST + RANGE * (Integer.getInteger(FORK_NUMBER, 0) % RANGES);
-		while (tried < RANGE) {
-			int port = first + tried++;
-			if (free(port)) {
-				return port;
+		if (guard == null) {
+			guard = claim();
+			next = guard.getLocalPort() + 1;
+		}
+		while (next < guard.getLocalPort() + RANGE) {
+			int port = next++;
+			try (ServerSocket socket = listen(port)) {
+				return socket.getLocalPort();
+			}
+			catch (IOException ex) {
+				// Another program uses the port; the next one is tried.
+			}
+		}
+		throw new IllegalStateException("No port of the range at " + guard.getLocalPort() + " is left");
+	}
+
+	private static ServerSocket claim() {
+		for (int range = 0; range < RANGES; range++) {
+			try {
+				return listen(LOWEST + range * RANGE);
+			}
+			catch (IOException ex) {
+				// Another JVM owns the range; the next one is tried.
 			}
 		}
-		throw new IllegalStateException("No port is left between " + first + " and " + (first + RANGE - 1));
+		throw new IllegalStateException("No range of ports is left");
 	}
 
-	private static boolean free(int port) {
-		try (ServerSocket socket = new ServerSocket()) {
+	private static ServerSocket listen(int port) throws IOException {
+		ServerSocket socket = new ServerSocket();
+		try {
 			socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 1);
-			return true;
+			return socket;
 		}
 		catch (IOException ex) {
-			return false;
+			socket.close();
+			throw ex;
 		}
 	}
 
