Refuse short requests in the last second before the process ends

Ruled out: the balancer's notice (the connection was an old one or the zone had few gateways); streams, which are refused from 2.6 s on. Change: short requests are refused from 1.2 s before the end on. Before: GatewayTest.testEndingGatewayTakesNothingThatItCannotFinish red.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -317,7 +317,7 @@
 			giveUp(candidates.isEmpty() ? "no upstream can be used" : "no upstream has room", UNAVAILABLE_RETRY_MILLIS);
 			return;
 		}
-		if (this.arrivals == 0 && !this.serving.takesLong() && stream()) {
+		if (this.arrivals == 0 && !this.serving.takes(stream())) {
 			giveUp("the process is about to end", UNAVAILABLE_RETRY_MILLIS);
 			return;
 		}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
@@ -75,10 +75,11 @@
 	boolean keysKnown();
 
 	/**
-	 * Returns whether streams are still begun, which may last long.
+	 * Returns whether requests are still begun that can end before the process does.
+	 * @param stream whether the answer is a stream, which may last long
 	 * @return {@code false} shortly before the process ends
 	 */
-	boolean takesLong();
+	boolean takes(boolean stream);
 
 	/**
 	 * Returns a service.
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -95,6 +95,12 @@
 	 */
 	private static final long END_MARGIN_MILLIS = 900;
 
+	/**
+	 * The time in milliseconds before that at which short requests are refused too: most
+	 * of them take a tenth of it.
+	 */
+	private static final long SHORT_MILLIS = 1_200;
+
 	/**
 	 * How long in milliseconds after the request to end new connections may still come:
 	 * the balancer needs two misses, a second apart.
@@ -525,8 +531,10 @@
 	}
 
 	@Override
-	public boolean takesLong() {
-		return this.endingSince == 0 || this.clock.millis() - this.endingSince < BALANCER_MILLIS;
+	public boolean takes(boolean stream) {
+		long last = this.settings.graceMillis() - END_MARGIN_MILLIS - SHORT_MILLIS;
+		long until = stream ? BALANCER_MILLIS : Math.max(BALANCER_MILLIS, last);
+		return this.endingSince == 0 || this.clock.millis() - this.endingSince < until;
 	}
 
 	@Override
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayTest.java
@@ -298,6 +298,22 @@
 		end.join();
 	}
 
+	@Test
+	public void testEndingGatewayTakesNothingThatItCannotFinish() {
+		this.fixture.configured();
+		this.fixture.upstream("u1", "pays", Script.silence());
+		this.fixture.upstream("u2", "reads", Script.ok("x"));
+		CompletableFuture<String> open = CompletableFuture.supplyAsync(() -> this.fixture.call("/pay/1", "a", ""));
+		pause(300);
+		CompletableFuture<Void> end = this.fixture.gateway().end();
+		GatewayFixture.await("short requests are refused before the end", () -> {
+			assertFalse(end.isDone(), "the process has ended, and short requests were taken until then");
+			return this.fixture.call("/read/1", "b", "").startsWith("HTTP/1.1 503");
+		});
+		end.join();
+		open.cancel(true);
+	}
+
 	@Test
 	public void testMetricsCountAnswersAndRefusals() {
 		this.fixture.configured();
