--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Policies.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Policies.java
@@ -98,7 +98,7 @@
 		int[] organisations = IntStream
 			.concat(IntStream.rangeClosed(1, ORGANISATIONS), IntStream.generate(() -> 1).limit(LARGE))
 			.toArray();
-		return new EngineFleet(SIZE, SIZE, policy)
+		return new EngineFleet(SIZE, SIZE, policy, 0)
 			.play(Request.draw(seed, LENGTH_MILLIS, load, organisations, SUBJECTS));
 	}
 
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerConnection.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerConnection.java
@@ -385,7 +385,7 @@
 		}
 
 		private void connectionHeader(HttpHeaders headers) {
-			this.keep = this.keep && !CallerConnection.this.server.ending();
+			this.keep = this.keep && CallerConnection.this.server.keeping();
 			if (!this.keep) {
 				headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 			}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerServer.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerServer.java
@@ -45,9 +45,10 @@
 	private final Set<CallerConnection> connections = new HashSet<>();
 
 	/**
-	 * Whether the process is about to end.
+	 * Whether connections are kept after an answer. Callers whose connection is not kept
+	 * come back to a gateway that is ready.
 	 */
-	private boolean ending;
+	private boolean keeping = true;
 
 	/**
 	 * Creates a server without connections.
@@ -85,10 +86,11 @@
 	}
 
 	/**
-	 * Lets each answer from now on close its connection.
+	 * Tells whether connections are kept from now on.
+	 * @param kept whether callers may send another request after an answer
 	 */
-	public void end() {
-		this.ending = true;
+	public void keepsConnections(boolean kept) {
+		this.keeping = kept;
 	}
 
 	/**
@@ -107,8 +109,8 @@
 		return this.connections.size();
 	}
 
-	boolean ending() {
-		return this.ending;
+	boolean keeping() {
+		return this.keeping;
 	}
 
 	RequestHandler handler() {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -286,6 +286,8 @@
 			.with("version", this.serving.catalog().get().version())
 			.with("configuration_age_ms", this.serving.catalogAge())
 			.with("prompt_tokens", this.work.promptTokens())
+			.with("shared_tokens", this.work.sharedTokens())
+			.with("output_tokens", this.work.outputTokens())
 			.with("deadline_ms", this.deadlineAt - this.startedAt));
 	}
 
@@ -310,9 +312,9 @@
 		long now = this.serving.clock().millis();
 		List<Upstream> candidates = this.serving.candidates(this.service, this.tried);
 		double used = this.organisation.isEmpty() ? 0 : this.serving.shares().used(this.organisation.hashCode(), now);
-		double limit = Admission.limitMillis(this.route.targetMillis(), used, remaining());
+		Terms terms = new Terms(Admission.limitMillis(this.route.targetMillis(), used, remaining()), used);
 		Optional<Choice> choice = this.service.placement()
-			.choose(this.work, ServiceState.states(candidates), new Terms(limit, used <= 1), now);
+			.choose(this.work, ServiceState.states(candidates), terms, now);
 		if (choice.isEmpty()) {
 			giveUp(candidates.isEmpty() ? "no upstream can be used" : "no upstream has room", UNAVAILABLE_RETRY_MILLIS);
 			return;
@@ -321,8 +323,8 @@
 			giveUp("the process is about to end", UNAVAILABLE_RETRY_MILLIS);
 			return;
 		}
-		if (this.arrivals == 0 && !Admission.takes(choice.get(), limit)) {
-			overloaded(choice.get(), limit, used);
+		if (this.arrivals == 0 && !Admission.takes(choice.get(), terms)) {
+			overloaded(choice.get(), terms);
 			return;
 		}
 		Upstream upstream = candidates.stream()
@@ -332,30 +334,31 @@
 		if (this.arrivals == 0) {
 			this.serving.shares().served(this.organisation.hashCode(), this.work.shareTokens(), now);
 		}
-		send(upstream, choice.get(), limit, used);
+		send(upstream, choice.get(), terms);
 	}
 
-	private void overloaded(Choice choice, double limit, double used) {
-		this.story.add(placed(choice, limit, used).with("taken", false));
-		refuse((used > 1) ? 429 : 503, (used > 1) ? "the organisation is beyond its share" : "the upstreams are busy",
-				Admission.retryMillis(choice, limit, used));
+	private void overloaded(Choice choice, Terms terms) {
+		this.story.add(placed(choice, terms).with("taken", false));
+		refuse(terms.beyond() ? 429 : 503,
+				terms.beyond() ? "the organisation is beyond its share" : "the upstreams are busy",
+				Admission.retryMillis(choice, terms));
 	}
 
-	private LogLine placed(Choice choice, double limit, double used) {
+	private LogLine placed(Choice choice, Terms terms) {
 		return LogLine.of(GatewayEvent.PLACED)
 			.with("request", this.id)
 			.with("upstream", choice.upstream().entry().id())
 			.with("expected_ms", choice.firstMillis())
 			.with("ahead_ms", choice.aheadMillis())
-			.with("limit_ms", limit)
-			.with("used_share", used)
+			.with("limit_ms", terms.limitMillis())
+			.with("used_share", terms.usedShare())
 			.with("unread_tokens", choice.unread())
 			.with("home", choice.home())
-			.with("running", choice.upstream().total(this.serving.clock().millis()).running());
+			.with("running", choice.running());
 	}
 
-	private void send(Upstream upstream, Choice choice, double limit, double used) {
-		this.story.add(placed(choice, limit, used).with("taken", true));
+	private void send(Upstream upstream, Choice choice, Terms terms) {
+		this.story.add(placed(choice, terms).with("taken", true));
 		this.attempt = new Attempt(this.serving.clock(), this.serving.adapter().headers(), this, this, upstream,
 				choice);
 		if (repeatable()) {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Beliefs.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Beliefs.java
@@ -153,6 +153,7 @@
 		this.log.write(LogLine.of(GatewayEvent.CONFIGURATION)
 			.with("version", read.version())
 			.with("services", read.services().size())
+			.with("tokens_per_second", read.tokensPerSecond())
 			.with("keys", read.keys().map(Map::size).orElse(0)));
 	}
 
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -25,6 +25,7 @@
 import org.ebonyford.catalog.Catalog;
 import org.ebonyford.catalog.EngineProfile;
 import org.ebonyford.catalog.ServiceDefinition;
+import org.ebonyford.directory.RouterRoster;
 import org.ebonyford.directory.UpstreamEntry;
 import org.ebonyford.freshness.Freshness;
 import org.ebonyford.gateway.caller.CallerServer;
@@ -45,6 +46,7 @@
 import org.ebonyford.gateway.store.StoreRecord;
 import org.ebonyford.gateway.store.StoreTopic;
 import org.ebonyford.gateway.wire.Adapter;
+import org.ebonyford.lifecycle.Readiness;
 import org.ebonyford.placement.UpstreamState;
 import org.ebonyford.retry.ColdAllowance;
 import org.ebonyford.retry.RetryBudget;
@@ -78,12 +80,6 @@
 	 */
 	private static final long GATEWAYS_WAIT_MILLIS = 5_000;
 
-	/**
-	 * The age in milliseconds of the configuration from which a gateway is not ready, if
-	 * a peer's is younger: over twice the longest wait of a read.
-	 */
-	private static final long READY_AGE_MILLIS = 2_500;
-
 	/**
 	 * The time in milliseconds by which keys are refused before their revocation has to
 	 * be in force, for the way to the upstream.
@@ -270,7 +266,8 @@
 		this.beliefs = new Beliefs(clock, adapter, log, settings.dataCentre(), this::upstream);
 		this.freshness = new Freshness(clock, wall);
 		this.retries = new RetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis());
-		this.shares = new OrganisationShares(settings.shareWindowMillis());
+		this.shares = new OrganisationShares(settings.shareWindowMillis(),
+				() -> catalog().map(Catalog::tokensPerSecond).orElse(0.0));
 		this.peering = new Peering(clock, log, this.beliefs, this.shares);
 		this.callers = new CallerServer(clock, () -> catalog().map(Catalog::limits).orElse(CallerLimits.DEFAULT),
 				(request, responder) -> new Exchange(this, request, responder).start(), this::improper);
@@ -327,7 +324,7 @@
 		feed(new StoreFeed.Plan(StoreTopic.GATEWAYS, GATEWAYS_WAIT_MILLIS, 0), new Freshness(this.clock, this.wall),
 				new Listener((batch) -> batch.records().forEach(this.peering::announcement),
 						this.peering::announcement));
-		this.peering.announce(this.loop, this.store, this.settings.name());
+		this.peering.announce(this.loop, this.store, this.settings.dataCentre());
 		this.loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
@@ -406,6 +403,7 @@
 
 	private void readiness() {
 		String reason = unreadyReason();
+		this.callers.keepsConnections(reason.isEmpty());
 		if (reason.isEmpty() != this.ready) {
 			this.ready = reason.isEmpty();
 			this.log.write(LogLine.of(GatewayEvent.READINESS)
@@ -416,20 +414,11 @@
 	}
 
 	private String unreadyReason() {
-		if (this.endingSince > 0) {
-			return "the process is about to end";
-		}
-		if (!this.beliefs.complete()) {
-			return "the configuration or the upstreams are not known";
-		}
-		if (catalogAge() > READY_AGE_MILLIS && newerElsewhere()) {
-			return "the configuration is older than a peer's";
-		}
-		return "";
-	}
-
-	private boolean newerElsewhere() {
-		return catalogAge() == Freshness.NEVER || this.peering.anyYounger(READY_AGE_MILLIS);
+		List<RouterRoster.Member> elsewhere = this.peering.elsewhere(this.settings.dataCentre());
+		long heardAt = elsewhere.stream().mapToLong(RouterRoster.Member::heardAt).max().orElse(0);
+		return Readiness.obstacle(new Readiness.View(this.endingSince > 0, this.beliefs.complete(), catalogAge(),
+				this.storeAnswers.orElse(true), this.peering.youngestAge(), elsewhere.size(),
+				this.clock.millis() - heardAt));
 	}
 
 	private OperatorServer.Page readinessPage(String path) {
@@ -458,7 +447,6 @@
 			this.endingSince = this.clock.millis();
 			this.log.write(LogLine.of(GatewayEvent.STOPPING).with("open", this.callers.busy()));
 			readiness();
-			this.callers.end();
 			this.peering.withdraw(this.store);
 			awaitEnd(ended);
 		});
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
@@ -12,6 +12,7 @@
 import io.netty.util.concurrent.EventExecutor;
 
 import org.ebonyford.directory.RouterRoster;
+import org.ebonyford.freshness.Freshness;
 import org.ebonyford.gateway.exchange.Upstream;
 import org.ebonyford.gateway.log.EventLog;
 import org.ebonyford.gateway.log.GatewayEvent;
@@ -129,14 +130,14 @@
 		return this.names;
 	}
 
-	void announce(EventExecutor loop, MetadataStore store, String name) {
+	void announce(EventExecutor loop, MetadataStore store, String dataCentre) {
 		if (this.withdrawn) {
 			return;
 		}
-		byte[] value = name.getBytes(StandardCharsets.US_ASCII);
+		byte[] value = dataCentre.getBytes(StandardCharsets.UTF_8);
 		store.append(StoreTopic.GATEWAYS, self(), Optional.of(value)).whenComplete((done, failure) -> {
 			if (failure != null) {
-				loop.schedule(() -> announce(loop, store, name), 1, TimeUnit.SECONDS);
+				loop.schedule(() -> announce(loop, store, dataCentre), 1, TimeUnit.SECONDS);
 			}
 		});
 	}
@@ -152,8 +153,9 @@
 			this.roster.withdrawn(record.key());
 		}
 		else if (colon > 0 && record.key().substring(colon + 1).matches("[0-9]{1,5}")) {
-			this.roster.announced(record.key(), record.key().substring(0, colon),
-					Integer.parseInt(record.key().substring(colon + 1)), this.clock.millis());
+			this.roster.announced(record.key(), new String(record.value().get(), StandardCharsets.UTF_8),
+					record.key().substring(0, colon), Integer.parseInt(record.key().substring(colon + 1)),
+					this.clock.millis());
 		}
 		renewNames();
 	}
@@ -183,15 +185,26 @@
 	}
 
 	/**
-	 * Returns whether a peer's configuration is young.
-	 * @param ageMillis the age in milliseconds up to which it is
-	 * @return {@code true} if a peer has told so lately
+	 * Returns the age of the youngest configuration that a peer has lately told of.
+	 * @return the age in milliseconds, {@link Freshness#NEVER} if none has
 	 */
-	boolean anyYounger(long ageMillis) {
+	long youngestAge() {
 		long now = this.clock.millis();
 		return this.ages.values()
 			.stream()
-			.anyMatch((age) -> now - age[1] < RECENT_MILLIS && age[0] + now - age[1] < ageMillis);
+			.filter((age) -> now - age[1] < RECENT_MILLIS)
+			.mapToLong((age) -> age[0] + now - age[1])
+			.min()
+			.orElse(Freshness.NEVER);
+	}
+
+	/**
+	 * Returns the gateways in other data centres that may be alive.
+	 * @param dataCentre the data centre of this gateway
+	 * @return the gateways, or all others if there is one data centre only
+	 */
+	List<RouterRoster.Member> elsewhere(String dataCentre) {
+		return this.roster.elsewhere(dataCentre, this.clock.millis());
 	}
 
 	private void reported(PeerReport report) {
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayTest.java
@@ -88,6 +88,22 @@
 		GatewayFixture.await("served", () -> this.fixture.call("/read/1", "c", "").startsWith("HTTP/1.1 200"));
 	}
 
+	@Test
+	public void testGatewayThatIsCutOffSendsItsCallersElsewhere() {
+		this.fixture.configured();
+		this.fixture.upstream("u1", "opens", Script.ok("x"));
+		this.fixture.store().write(StoreTopic.GATEWAYS, "127.0.0.1:9", "dc2");
+		GatewayFixture.await("the peer is known", () -> this.fixture.metrics().contains("ebonyford_gateways 2"));
+		this.fixture.store().away(true);
+		GatewayFixture.await("not ready", () -> this.fixture.readiness() == 503);
+		String request = GatewayFixture.request("/open/1", "a", "").replace("Connection: close\r\n", "");
+		String answer = this.fixture.send(request);
+		assertStatus(answer, 200);
+		assertTrue(answer.toLowerCase().contains("connection: close"), answer);
+		this.fixture.store().away(false);
+		GatewayFixture.await("ready", () -> this.fixture.readiness() == 200);
+	}
+
 	@Test
 	public void testSuspendedGatewayReadsBeforeItTakesKeys() {
 		this.fixture.configured();
--- a/ebonyford/src/main/java/org/ebonyford/directory/RouterRoster.java
+++ b/ebonyford/src/main/java/org/ebonyford/directory/RouterRoster.java
@@ -39,13 +39,14 @@
 	/**
 	 * Notes the announcement of a router.
 	 * @param name the name of the router
+	 * @param dataCentre the data centre of the router, empty if it does not tell
 	 * @param host the IP address at which its peers reach it
 	 * @param port the port at which its peers reach it
 	 * @param now the time in milliseconds
 	 */
-	public void announced(String name, String host, int port, long now) {
+	public void announced(String name, String dataCentre, String host, int port, long now) {
 		if (!name.equals(this.self)) {
-			this.members.put(name, new Member(name, host, port, now));
+			this.members.put(name, new Member(name, dataCentre, host, port, now));
 		}
 	}
 
@@ -63,7 +64,8 @@
 	 * @param now the time in milliseconds
 	 */
 	public void heard(String name, long now) {
-		this.members.computeIfPresent(name, (key, member) -> new Member(name, member.host(), member.port(), now));
+		this.members.computeIfPresent(name,
+				(key, member) -> new Member(name, member.dataCentre(), member.host(), member.port(), now));
 	}
 
 	/**
@@ -75,6 +77,19 @@
 		return this.members.values().stream().filter((member) -> now - member.heardAt() < GONE_MILLIS).toList();
 	}
 
+	/**
+	 * Returns the other routers that may be alive in other data centres, or all others if
+	 * there are none elsewhere.
+	 * @param dataCentre the data centre of this router
+	 * @param now the time in milliseconds
+	 * @return the routers
+	 */
+	public List<Member> elsewhere(String dataCentre, long now) {
+		List<Member> peers = peers(now);
+		List<Member> others = peers.stream().filter((member) -> !member.dataCentre().equals(dataCentre)).toList();
+		return others.isEmpty() ? peers : others;
+	}
+
 	/**
 	 * Returns the names of all routers that may be alive, this one first.
 	 * @param now the time in milliseconds
@@ -90,11 +105,12 @@
 	 * A router.
 	 *
 	 * @param name the name of the router
+	 * @param dataCentre the data centre of the router, empty if it does not tell
 	 * @param host the IP address at which its peers reach it
 	 * @param port the port at which its peers reach it
 	 * @param heardAt when it was last heard, in milliseconds
 	 */
-	public record Member(String name, String host, int port, long heardAt) {
+	public record Member(String name, String dataCentre, String host, int port, long heardAt) {
 	}
 
 }
--- a/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
@@ -5,7 +5,8 @@
  * answer would begin and from how much of its fair share its organisation has used. It
  * answers the load of more requests than the engines can serve: whoever is below its
  * share goes first, and what would be late anyway is refused while the caller can still
- * come back.
+ * come back. What engines can do beyond all shares is given away only while they have
+ * slots to spare, so that it delays nobody who is within a share.
  */
 public final class Admission {
 
@@ -27,9 +28,11 @@
 	private static final double STARVED = 0.5;
 
 	/**
-	 * The least part of the latency target, for organisations far beyond their share.
+	 * The part of an engine's slots that requests may fill for an organisation just
+	 * beyond its share. The part shrinks with the root of what the organisation has used,
+	 * so that those beyond their shares come to use alike.
 	 */
-	private static final double LEAST = 0.15;
+	private static final double SPARE_SLOTS = 1;
 
 	/**
 	 * The wait in milliseconds behind other requests below which nothing is refused, as
@@ -64,7 +67,7 @@
 		if (usedShare <= 1) {
 			return BELOW_SHARE - (BELOW_SHARE - AT_SHARE) * (usedShare - STARVED) / (1 - STARVED);
 		}
-		return Math.max(AT_SHARE / usedShare, LEAST);
+		return AT_SHARE;
 	}
 
 	/**
@@ -82,25 +85,29 @@
 	/**
 	 * Returns whether a request is taken.
 	 * @param choice the upstream chosen for it
-	 * @param limitMillis the time in milliseconds within which its first byte must be
-	 * expected
+	 * @param terms the terms of the request
 	 * @return {@code true} if it is sent to the upstream
 	 */
-	public static boolean takes(Choice choice, double limitMillis) {
-		return choice.firstMillis() <= limitMillis || choice.aheadMillis() <= NO_WAIT_MILLIS;
+	public static boolean takes(Choice choice, Terms terms) {
+		if (terms.beyond() && choice.running() >= spareSlots(choice, terms.usedShare())) {
+			return false;
+		}
+		return choice.firstMillis() <= terms.limitMillis() || choice.aheadMillis() <= NO_WAIT_MILLIS;
+	}
+
+	private static double spareSlots(Choice choice, double usedShare) {
+		return choice.upstream().entry().slots() * SPARE_SLOTS / Math.sqrt(usedShare);
 	}
 
 	/**
 	 * Returns the time after which a refused request can be served, as far as is known.
 	 * @param choice the upstream chosen for it
-	 * @param limitMillis the time in milliseconds within which its first byte must be
-	 * expected
-	 * @param usedShare the part of its fair share that the organisation has used
+	 * @param terms the terms of the request
 	 * @return the time in milliseconds
 	 */
-	public static double retryMillis(Choice choice, double limitMillis, double usedShare) {
-		double queue = choice.firstMillis() - limitMillis;
-		double share = (usedShare > 1) ? LONGEST_RETRY_MILLIS * (1 - 1 / usedShare) : 0;
+	public static double retryMillis(Choice choice, Terms terms) {
+		double queue = choice.firstMillis() - terms.limitMillis();
+		double share = terms.beyond() ? LONGEST_RETRY_MILLIS * (1 - 1 / terms.usedShare()) : 0;
 		return Math.max(LEAST_RETRY_MILLIS, Math.min(Math.max(queue, share), LONGEST_RETRY_MILLIS));
 	}
 
--- a/ebonyford/src/main/java/org/ebonyford/placement/Choice.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Choice.java
@@ -8,8 +8,9 @@
  * @param aheadMillis the part of that time that other requests take, in milliseconds
  * @param unread the prompt tokens that the upstream has to read
  * @param ahead the prompt tokens that it reads before
+ * @param running the requests that it runs or keeps waiting
  * @param home whether the upstream is where the prompt's shared parts are kept
  */
 public record Choice(UpstreamState upstream, double firstMillis, double aheadMillis, int unread, long ahead,
-		boolean home) {
+		int running, boolean home) {
 }
--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -37,11 +37,17 @@
 		private static final double READ_AGAIN_WEIGHT = 12;
 
 		/**
-		 * The shared tokens from which a request that may not spill is bound to its
-		 * homes.
+		 * The shared tokens from which a request of an organisation beyond its share is
+		 * bound to its homes while other engines have work.
 		 */
 		private static final int BOUND_TOKENS = 1_000;
 
+		/**
+		 * The part of an engine's slots up to which it counts as idle: few requests are
+		 * delayed there by what is read again.
+		 */
+		private static final double IDLE_SLOTS = 0.125;
+
 		/**
 		 * The part of an engine's memory that running requests may fill. Beyond it the
 		 * engine preempts the newest.
@@ -81,19 +87,20 @@
 		@Override
 		public Optional<Choice> choose(Work work, Collection<UpstreamState> candidates, Terms terms, long now) {
 			Homes homes = Homes.of(work, candidates);
-			boolean bound = !terms.spills() && work.sharedTokens() >= BOUND_TOKENS;
+			boolean bound = terms.beyond() && work.sharedTokens() >= BOUND_TOKENS;
 			Choice best = null;
 			double leastCost = Double.POSITIVE_INFINITY;
 			Choice soonest = null;
 			for (UpstreamState candidate : candidates) {
 				Load load = candidate.total(now);
 				boolean full = load.memory() + work.memoryTokens() > candidate.memoryTokens() * MEMORY_PART;
-				if (full || (bound && !homes.contains(candidate))) {
+				boolean idle = load.running() <= candidate.entry().slots() * IDLE_SLOTS;
+				if (full || (bound && !idle && !homes.contains(candidate))) {
 					continue;
 				}
 				Choice choice = predict(work, candidate, load, homes, now);
 				double cost = cost(work, choice, homes, now);
-				if (Admission.takes(choice, terms.limitMillis()) && cost < leastCost) {
+				if (Admission.takes(choice, terms) && cost < leastCost) {
 					best = choice;
 					leastCost = cost;
 				}
@@ -111,7 +118,7 @@
 			double queued = Math.max(load.running() + 1 - slots, 0) * this.pace.wholeMillis() / slots;
 			double ahead = (this.pace.readMillis(load.reading()) + queued) * slowness;
 			return new Choice(candidate, ahead + this.pace.firstMillis(unread) * slowness, ahead, unread,
-					load.reading(), home);
+					load.reading(), load.running(), home);
 		}
 
 		private double cost(Work work, Choice choice, Homes homes, long now) {
@@ -211,7 +218,7 @@
 				double failing = FAILURE_ANSWERS * each * candidate.health().failureShare(now);
 				double cost = each + ahead + busy + distance + failing;
 				if (cost < leastCost) {
-					best = new Choice(candidate, each + ahead, ahead, 0, 0, false);
+					best = new Choice(candidate, each + ahead, ahead, 0, 0, running, false);
 					leastCost = cost;
 				}
 			}
--- a/ebonyford/src/main/java/org/ebonyford/placement/Terms.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Terms.java
@@ -4,8 +4,17 @@
  * The terms on which a request is placed.
  *
  * @param limitMillis the time in milliseconds within which the first byte should come
- * @param spills whether the request may go where its shared parts have to be read again;
- * what an organisation asks beyond its share may not
+ * @param usedShare the part of its fair share that the organisation has used
  */
-public record Terms(double limitMillis, boolean spills) {
+public record Terms(double limitMillis, double usedShare) {
+
+	/**
+	 * Returns whether the organisation is beyond its share: it gets what others leave,
+	 * and its requests do not go where their shared parts have to be read again.
+	 * @return {@code true} if others go first
+	 */
+	public boolean beyond() {
+		return this.usedShare > 1;
+	}
+
 }
--- a/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
+++ b/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.DoubleSupplier;
 
 import org.ebonyford.retry.SlidingCount;
 
@@ -39,8 +40,8 @@
 
 	/**
 	 * The part of what is asked that must have been left unserved before the served
-	 * tokens are taken for all that the engines make. What they make depends on the
-	 * prompts that they keep and on the engines that are out, so no stated rate tells it.
+	 * tokens are taken for all that the engines make: less than stated while engines are
+	 * out.
 	 */
 	private static final double SHORTAGE = 0.1;
 
@@ -49,6 +50,11 @@
 	 */
 	private final long windowMillis;
 
+	/**
+	 * The tokens a second that the engines are stated to make, 0 while that is unknown.
+	 */
+	private final DoubleSupplier statedPerSecond;
+
 	/**
 	 * What this router saw, by the hash of the organisation.
 	 */
@@ -78,9 +84,12 @@
 	/**
 	 * Creates shares of which nothing is used.
 	 * @param windowMillis the length of the window in milliseconds
+	 * @param statedPerSecond the tokens a second that the engines are stated to make, 0
+	 * while that is unknown
 	 */
-	public OrganisationShares(long windowMillis) {
+	public OrganisationShares(long windowMillis, DoubleSupplier statedPerSecond) {
 		this.windowMillis = windowMillis;
+		this.statedPerSecond = statedPerSecond;
 	}
 
 	/**
@@ -154,13 +163,25 @@
 			.forEach((peer) -> peer.usage().forEach((key, usage) -> sums.merge(key, usage, Usage::plus)));
 		double asked = sums.values().stream().mapToLong(Usage::asked).sum();
 		double served = sums.values().stream().mapToLong(Usage::served).sum();
-		double capacity = (served < asked * (1 - SHORTAGE)) ? served : Double.POSITIVE_INFINITY;
 		double[] demands = sums.values().stream().mapToDouble(Usage::asked).toArray();
-		this.level = Math.max(MaxMinLevel.of(demands, capacity), 1);
+		this.level = Math.max(MaxMinLevel.of(demands, capacity(asked, served)), 1);
 		this.totals = sums;
 		this.computedAt = now;
 	}
 
+	/**
+	 * Returns what is divided. Engines that keep many prompts make more than the stated
+	 * rate; that surplus is nobody's share, and goes to whoever asks while there is room.
+	 * @param asked what was asked within the window
+	 * @param served what was served within the window
+	 * @return the tokens that are divided, infinite if nothing is short
+	 */
+	private double capacity(double asked, double served) {
+		double made = (served < asked * (1 - SHORTAGE)) ? served : Double.POSITIVE_INFINITY;
+		double stated = this.statedPerSecond.getAsDouble() * this.windowMillis / 1_000;
+		return (stated > 0) ? Math.min(stated, made) : made;
+	}
+
 	private Counts counts(int organisation) {
 		return this.own.computeIfAbsent(organisation, (key) -> new Counts(this.windowMillis));
 	}
