--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/peer/PeerReport.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/peer/PeerReport.java
@@ -18,23 +18,37 @@
  * @param loads its load on upstreams by the hash of their identifier
  * @param usages what organisations asked of it and got, by the hash of their name
  */
-public record PeerReport(String name, int catalogAge, Map<Long, Load> loads, Map<Integer, Usage> usages) {
+public record PeerReport(String name, int catalogAge, Map<Integer, Load> loads, Map<Integer, Usage> usages) {
 
 	/**
-	 * The greatest number of upstreams, and of organisations, in a report. With them it
-	 * takes some 1,400 bytes, which is one packet.
+	 * The greatest number of upstreams in a report, so that it fits a packet.
 	 */
-	public static final int GREATEST_ENTRIES = 45;
+	public static final int GREATEST_LOADS = 80;
+
+	/**
+	 * The greatest number of organisations in a report, those that ask most.
+	 */
+	public static final int GREATEST_USAGES = 45;
+
+	/**
+	 * The unit in which tokens of loads are told: small against any prompt that matters.
+	 */
+	private static final int TOKEN_UNIT = 32;
+
+	/**
+	 * The greatest number of these units.
+	 */
+	private static final int GREATEST_UNITS = 0xffff;
 
 	/**
 	 * What each report begins with: a mark and the version of the format.
 	 */
-	private static final int MARK = 0xeb0f_0001;
+	private static final int MARK = 0xeb0f_0002;
 
 	/**
 	 * The greatest size in bytes.
 	 */
-	private static final int GREATEST_BYTES = 2_048;
+	private static final int GREATEST_BYTES = 4_096;
 
 	/**
 	 * Creates a report.
@@ -53,10 +67,10 @@
 		byte[] text = this.name.getBytes(StandardCharsets.US_ASCII);
 		buffer.putInt(MARK).putInt(this.catalogAge).put((byte) text.length).put(text);
 		buffer.put((byte) this.loads.size());
-		this.loads.forEach((upstream, load) -> buffer.putLong(upstream)
+		this.loads.forEach((upstream, load) -> buffer.putInt(upstream)
 			.putShort((short) load.running())
-			.putInt((int) load.reading())
-			.putInt((int) load.memory()));
+			.putShort(units(load.reading()))
+			.putShort(units(load.memory())));
 		buffer.put((byte) this.usages.size());
 		this.usages.forEach((organisation,
 				usage) -> buffer.putInt(organisation).putInt((int) usage.asked()).putInt((int) usage.served()));
@@ -65,6 +79,14 @@
 		return bytes;
 	}
 
+	private static short units(long tokens) {
+		return (short) Math.min((tokens + TOKEN_UNIT - 1) / TOKEN_UNIT, GREATEST_UNITS);
+	}
+
+	private static long tokens(ByteBuffer buffer) {
+		return (buffer.getShort() & GREATEST_UNITS) * (long) TOKEN_UNIT;
+	}
+
 	/**
 	 * Decodes a report.
 	 * @param bytes the bytes
@@ -79,9 +101,9 @@
 			int age = buffer.getInt();
 			byte[] text = new byte[buffer.get() & 0xff];
 			buffer.get(text);
-			Map<Long, Load> loads = new HashMap<>();
+			Map<Integer, Load> loads = new HashMap<>();
 			for (int rest = buffer.get(); rest > 0; rest--) {
-				loads.put(buffer.getLong(), new Load(buffer.getShort(), buffer.getInt(), buffer.getInt()));
+				loads.put(buffer.getInt(), new Load(buffer.getShort(), tokens(buffer), tokens(buffer)));
 			}
 			Map<Integer, Usage> usages = new HashMap<>();
 			for (int rest = buffer.get(); rest > 0; rest--) {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Beliefs.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Beliefs.java
@@ -193,6 +193,18 @@
 		registered(entry.get());
 	}
 
+	/**
+	 * Returns whether two records of an upstream say the same of it.
+	 * @param before the earlier record
+	 * @param after the later record
+	 * @return {@code true} if the later one only repeats the earlier one
+	 */
+	boolean sameUpstream(StoreRecord before, StoreRecord after) {
+		Optional<UpstreamEntry> first = before.value().flatMap((value) -> this.adapter.upstream(before.key(), value));
+		Optional<UpstreamEntry> second = after.value().flatMap((value) -> this.adapter.upstream(after.key(), value));
+		return first.isPresent() && first.equals(second);
+	}
+
 	void expire() {
 		this.directory.expire(this.clock.millis()).forEach(this::gone);
 	}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,10 +42,13 @@
 import org.ebonyford.gateway.log.Metrics;
 import org.ebonyford.gateway.settings.GatewaySettings;
 import org.ebonyford.gateway.store.MetadataStore;
+import org.ebonyford.gateway.store.RelayServer;
+import org.ebonyford.gateway.store.RelayedStore;
 import org.ebonyford.gateway.store.StoreBatch;
 import org.ebonyford.gateway.store.StoreFeed;
 import org.ebonyford.gateway.store.StoreRecord;
 import org.ebonyford.gateway.store.StoreTopic;
+import org.ebonyford.gateway.store.TopicCache;
 import org.ebonyford.gateway.wire.Adapter;
 import org.ebonyford.lifecycle.Readiness;
 import org.ebonyford.placement.UpstreamState;
@@ -67,7 +71,7 @@
 	 * How long in milliseconds the store may wait for a record of the operator. It bounds
 	 * the age of the configuration, together with the time of a call.
 	 */
-	private static final long OPERATOR_WAIT_MILLIS = 900;
+	private static final long OPERATOR_WAIT_MILLIS = 600;
 
 	/**
 	 * The pause in milliseconds between two reads of the upstreams' entries: short
@@ -212,7 +216,7 @@
 	/**
 	 * The feeds from the store.
 	 */
-	private final List<StoreFeed> feeds = new ArrayList<>();
+	private final Map<StoreTopic, StoreFeed> feeds = new EnumMap<>(StoreTopic.class);
 
 	/**
 	 * The sockets that listen.
@@ -268,7 +272,7 @@
 		this.retries = new RetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis());
 		this.shares = new OrganisationShares(settings.shareWindowMillis(),
 				() -> catalog().map(Catalog::tokensPerSecond).orElse(0.0));
-		this.peering = new Peering(clock, log, this.beliefs, this.shares);
+		this.peering = new Peering(clock, settings.dataCentre(), log, this.beliefs, this.shares);
 		this.callers = new CallerServer(clock, () -> catalog().map(Catalog::limits).orElse(CallerLimits.DEFAULT),
 				(request, responder) -> new Exchange(this, request, responder).start(), this::improper);
 	}
@@ -283,9 +287,12 @@
 		bound.put("metrics", listen(this.settings.metrics(), new OperatorServer(this::metricsPage)));
 		bound.put("peers", this.peering.open(this.group, this.settings.peers()));
 		bound.put("callers", listen(this.settings.callers(), this.callers));
-		this.store = this.adapter.store(this.calls, this.settings.store());
+		this.store = new RelayedStore(this.adapter.store(this.calls, this.settings.store()), this.calls,
+				this.peering::relay);
+		follow();
+		InetSocketAddress relay = listen(this.settings.relay(), new RelayServer(this.feeds::get));
 		gauges();
-		this.loop.execute(this::begin);
+		this.loop.execute(() -> begin(relay.getPort()));
 		this.log.write(LogLine.of(GatewayEvent.STARTED)
 			.with("callers", String.valueOf(bound.get("callers")))
 			.with("store", String.valueOf(this.settings.store())));
@@ -316,7 +323,7 @@
 		this.metrics.gauge("ebonyford_log_lines_dropped", this.log::dropped);
 	}
 
-	private void begin() {
+	private void follow() {
 		feed(new StoreFeed.Plan(StoreTopic.OPERATOR, OPERATOR_WAIT_MILLIS, 0), this.freshness,
 				new Listener(this.beliefs::operatorNewest, this.beliefs::operatorRecord));
 		feed(new StoreFeed.Plan(StoreTopic.UPSTREAMS, 0, UPSTREAMS_PAUSE_MILLIS), new Freshness(this.clock, this.wall),
@@ -324,14 +331,18 @@
 		feed(new StoreFeed.Plan(StoreTopic.GATEWAYS, GATEWAYS_WAIT_MILLIS, 0), new Freshness(this.clock, this.wall),
 				new Listener((batch) -> batch.records().forEach(this.peering::announcement),
 						this.peering::announcement));
-		this.peering.announce(this.loop, this.store, this.settings.dataCentre());
+	}
+
+	private void begin(int relayPort) {
+		this.feeds.values().forEach(StoreFeed::readNow);
+		this.peering.announce(this.loop, this.store, relayPort);
 		this.loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void feed(StoreFeed.Plan plan, Freshness age, StoreFeed.Listener listener) {
-		StoreFeed feed = new StoreFeed(this.loop, this.store, plan, age, listener);
-		this.feeds.add(feed);
-		feed.readNow();
+		TopicCache cache = new TopicCache(
+				(before, after) -> plan.topic() == StoreTopic.UPSTREAMS && this.beliefs.sameUpstream(before, after));
+		this.feeds.put(plan.topic(), new StoreFeed(this.loop, this.store, plan, age, cache, listener));
 	}
 
 	private Upstream upstream(UpstreamEntry entry) {
@@ -372,7 +383,7 @@
 		this.log.write(LogLine.of(GatewayEvent.CLOCKS_DIVERGED));
 		this.calls.closeIdle();
 		this.beliefs.upstreams().forEach((upstream) -> upstream.pool().closeIdle());
-		this.feeds.forEach(StoreFeed::readNow);
+		this.feeds.values().forEach(StoreFeed::readNow);
 	}
 
 	private void check(Upstream upstream, long now) {
@@ -414,7 +425,7 @@
 	}
 
 	private String unreadyReason() {
-		List<RouterRoster.Member> elsewhere = this.peering.elsewhere(this.settings.dataCentre());
+		List<RouterRoster.Member> elsewhere = this.peering.elsewhere();
 		long heardAt = elsewhere.stream().mapToLong(RouterRoster.Member::heardAt).max().orElse(0);
 		return Readiness.obstacle(new Readiness.View(this.endingSince > 0, this.beliefs.complete(), catalogAge(),
 				this.storeAnswers.orElse(true), this.peering.youngestAge(), elsewhere.size(),
@@ -458,7 +469,7 @@
 		boolean last = waited >= this.settings.graceMillis() - END_MARGIN_MILLIS;
 		if (last || (waited > BALANCER_MILLIS && this.callers.busy() == 0)) {
 			this.log.write(LogLine.of(GatewayEvent.STOPPED).with("open", this.callers.busy()));
-			this.feeds.forEach(StoreFeed::close);
+			this.feeds.values().forEach(StoreFeed::close);
 			ended.complete(null);
 			return;
 		}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
@@ -2,15 +2,19 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.EventExecutor;
 
+import org.ebonyford.directory.RelayChoice;
 import org.ebonyford.directory.RouterRoster;
 import org.ebonyford.freshness.Freshness;
 import org.ebonyford.gateway.exchange.Upstream;
@@ -23,6 +27,7 @@
 import org.ebonyford.gateway.store.StoreRecord;
 import org.ebonyford.gateway.store.StoreTopic;
 import org.ebonyford.placement.Load;
+import org.ebonyford.placement.UpstreamState;
 import org.ebonyford.share.OrganisationShares;
 import org.ebonyford.time.Clock;
 
@@ -49,11 +54,27 @@
 	 */
 	private static final long RECENT_MILLIS = 2_500;
 
+	/**
+	 * The age in milliseconds that a peer's configuration may have for the store to be
+	 * read through it: over twice the longest wait of a read.
+	 */
+	private static final long RELAY_AGE_MILLIS = 1_500;
+
+	/**
+	 * The address, the data centre and the relay's port of an announcement.
+	 */
+	private static final Pattern ANNOUNCEMENT = Pattern.compile("(\\S+):([0-9]{1,5}) (\\S+) ([0-9]{1,5})");
+
 	/**
 	 * The clock.
 	 */
 	private final Clock clock;
 
+	/**
+	 * The data centre of this gateway.
+	 */
+	private final String dataCentre;
+
 	/**
 	 * The log.
 	 */
@@ -99,8 +120,9 @@
 	 */
 	private long reportedAt;
 
-	Peering(Clock clock, EventLog log, Beliefs beliefs, OrganisationShares shares) {
+	Peering(Clock clock, String dataCentre, EventLog log, Beliefs beliefs, OrganisationShares shares) {
 		this.clock = clock;
+		this.dataCentre = dataCentre;
 		this.log = log;
 		this.beliefs = beliefs;
 		this.shares = shares;
@@ -130,14 +152,20 @@
 		return this.names;
 	}
 
-	void announce(EventExecutor loop, MetadataStore store, String dataCentre) {
+	/**
+	 * Tells the others of this gateway, and goes on until the store has taken it.
+	 * @param loop the event loop
+	 * @param store the store
+	 * @param relayPort the port at which peers read
+	 */
+	void announce(EventExecutor loop, MetadataStore store, int relayPort) {
 		if (this.withdrawn) {
 			return;
 		}
-		byte[] value = dataCentre.getBytes(StandardCharsets.UTF_8);
+		byte[] value = (this.dataCentre + " " + relayPort).getBytes(StandardCharsets.UTF_8);
 		store.append(StoreTopic.GATEWAYS, self(), Optional.of(value)).whenComplete((done, failure) -> {
 			if (failure != null) {
-				loop.schedule(() -> announce(loop, store, dataCentre), 1, TimeUnit.SECONDS);
+				loop.schedule(() -> announce(loop, store, relayPort), 1, TimeUnit.SECONDS);
 			}
 		});
 	}
@@ -148,14 +176,17 @@
 	}
 
 	void announcement(StoreRecord record) {
-		int colon = record.key().lastIndexOf(':');
 		if (record.value().isEmpty()) {
 			this.roster.withdrawn(record.key());
 		}
-		else if (colon > 0 && record.key().substring(colon + 1).matches("[0-9]{1,5}")) {
-			this.roster.announced(record.key(), new String(record.value().get(), StandardCharsets.UTF_8),
-					record.key().substring(0, colon), Integer.parseInt(record.key().substring(colon + 1)),
-					this.clock.millis());
+		else {
+			Matcher announced = ANNOUNCEMENT
+				.matcher(record.key() + " " + new String(record.value().get(), StandardCharsets.UTF_8));
+			if (announced.matches()) {
+				this.roster.announced(new RouterRoster.Member(record.key(), announced.group(3), announced.group(1),
+						Integer.parseInt(announced.group(2)), Integer.parseInt(announced.group(4)),
+						this.clock.millis()));
+			}
 		}
 		renewNames();
 	}
@@ -171,14 +202,16 @@
 			return;
 		}
 		this.reportedAt = now;
-		Map<Long, Load> loads = new HashMap<>();
-		for (Upstream upstream : this.beliefs.upstreams()) {
-			if (upstream.state().own().running() > 0 && loads.size() < PeerReport.GREATEST_ENTRIES) {
-				loads.put(upstream.state().hash(), upstream.state().own());
-			}
-		}
+		Map<Integer, Load> loads = new HashMap<>();
+		this.beliefs.upstreams()
+			.stream()
+			.map(Upstream::state)
+			.filter((state) -> state.own().running() > 0)
+			.sorted(Comparator.comparingInt((UpstreamState state) -> state.own().running()).reversed())
+			.limit(PeerReport.GREATEST_LOADS)
+			.forEach((state) -> loads.put(state.shortHash(), state.own()));
 		byte[] bytes = new PeerReport(self(), (int) Math.min(catalogAge, Integer.MAX_VALUE), loads,
-				this.shares.own(PeerReport.GREATEST_ENTRIES, now))
+				this.shares.own(PeerReport.GREATEST_USAGES, now))
 			.encode();
 		this.roster.peers(now)
 			.forEach((peer) -> this.reports.send(bytes, new InetSocketAddress(peer.host(), peer.port())));
@@ -200,11 +233,26 @@
 
 	/**
 	 * Returns the gateways in other data centres that may be alive.
-	 * @param dataCentre the data centre of this gateway
 	 * @return the gateways, or all others if there is one data centre only
 	 */
-	List<RouterRoster.Member> elsewhere(String dataCentre) {
-		return this.roster.elsewhere(dataCentre, this.clock.millis());
+	List<RouterRoster.Member> elsewhere() {
+		return this.roster.elsewhere(this.dataCentre, this.clock.millis());
+	}
+
+	/**
+	 * Returns where the store is read through a peer at present.
+	 * @return the address, or empty if this gateway reads from the store itself
+	 */
+	Optional<InetSocketAddress> relay() {
+		long now = this.clock.millis();
+		List<RouterRoster.Member> alive = this.roster.peers(now).stream().filter((peer) -> knowing(peer, now)).toList();
+		RouterRoster.Member self = new RouterRoster.Member(self(), this.dataCentre, "", 0, 0, now);
+		return RelayChoice.of(self, alive).map((peer) -> new InetSocketAddress(peer.host(), peer.relayPort()));
+	}
+
+	private boolean knowing(RouterRoster.Member peer, long now) {
+		long[] age = this.ages.get(peer.name());
+		return age != null && now - age[1] < RECENT_MILLIS && age[0] < RELAY_AGE_MILLIS;
 	}
 
 	private void reported(PeerReport report) {
@@ -213,7 +261,7 @@
 		this.ages.put(report.name(), new long[] { report.catalogAge(), now });
 		this.shares.peer(report.name(), report.usages(), now);
 		this.beliefs.upstreams().forEach((upstream) -> {
-			Load load = report.loads().getOrDefault(upstream.state().hash(), Load.NONE);
+			Load load = report.loads().getOrDefault(upstream.state().shortHash(), Load.NONE);
 			upstream.state().peer(report.name(), load, now);
 		});
 	}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/settings/GatewaySettings.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/settings/GatewaySettings.java
@@ -22,6 +22,7 @@
  * @param readiness the address at which the balancer asks
  * @param metrics the address of the metrics
  * @param peers the address at which peers send their reports
+ * @param relay the address at which peers read what was read from the store
  * @param store the address of the store
  * @param revocationMillis the time in milliseconds within which a key that was taken away
  * stops working everywhere
@@ -34,9 +35,9 @@
  * @param shareWindowMillis the window in milliseconds in which shares are counted
  */
 public record GatewaySettings(String name, String dataCentre, InetSocketAddress callers, InetSocketAddress readiness,
-		InetSocketAddress metrics, InetSocketAddress peers, InetSocketAddress store, long revocationMillis,
-		long graceMillis, double retryRatio, double retryExtra, long retryWindowMillis, double coldFactor,
-		double coldSlack, long shareWindowMillis) {
+		InetSocketAddress metrics, InetSocketAddress peers, InetSocketAddress relay, InetSocketAddress store,
+		long revocationMillis, long graceMillis, double retryRatio, double retryExtra, long retryWindowMillis,
+		double coldFactor, double coldSlack, long shareWindowMillis) {
 
 	/**
 	 * The number of milliseconds in a second.
@@ -76,7 +77,7 @@
 	private static GatewaySettings read(Values values) {
 		return new GatewaySettings(values.text(Setting.NAME), values.text(Setting.DATA_CENTRE),
 				values.address(Setting.CALLERS), values.address(Setting.READINESS), values.address(Setting.METRICS),
-				values.address(Setting.PEERS), values.address(Setting.STORE),
+				values.address(Setting.PEERS), values.address(Setting.RELAY), values.address(Setting.STORE),
 				Math.round(values.number(Setting.REVOCATION)), values.millis(Setting.GRACE),
 				values.number(Setting.RETRY_RATIO), values.number(Setting.RETRY_EXTRA),
 				values.millis(Setting.RETRY_WINDOW), values.number(Setting.COLD_FACTOR),
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/settings/Setting.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/settings/Setting.java
@@ -35,6 +35,10 @@
 	PEERS("listen", "peers", ValueFormat.ForAddress.INSTANCE, "",
 			"The address, for UDP, at which peers send their reports."),
 
+	/** The address at which peers read. */
+	RELAY("listen", "relay", ValueFormat.ForAddress.INSTANCE, "",
+			"The address, for TCP, at which peers read what this gateway has read from the store."),
+
 	/** The address of the store. */
 	STORE("store", "address", ValueFormat.ForAddress.INSTANCE, "", "The address of the platform's store."),
 
--- /dev/null
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
@@ -0,0 +1,121 @@
+package org.ebonyford.gateway.store;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import org.ebonyford.gateway.http.HttpCalls;
+
+/**
+ * Reads topics through a peer while there is one that relays, and from the store itself
+ * otherwise or if the peer fails. Calls to the store then do not grow with the number of
+ * gateways.
+ */
+public final class RelayedStore implements MetadataStore {
+
+	/**
+	 * The least time in milliseconds for which a relay may wait for a record: many short
+	 * waits would cost it more than the store saves.
+	 */
+	private static final long LEAST_WAIT_MILLIS = 600;
+
+	/**
+	 * The longest time in milliseconds for the relay's answer beyond its wait: many round
+	 * trips within a region.
+	 */
+	private static final long TIMEOUT_MILLIS = 400;
+
+	/**
+	 * The age in milliseconds from which a relay's answer is worth nothing: it has lost
+	 * the store. A sound relay's answer is at most two waits and two calls old.
+	 */
+	private static final long GREATEST_AGE_MILLIS = 1_700;
+
+	/**
+	 * The status code of a success.
+	 */
+	private static final int OK = 200;
+
+	/**
+	 * The store.
+	 */
+	private final MetadataStore store;
+
+	/**
+	 * The calls.
+	 */
+	private final HttpCalls calls;
+
+	/**
+	 * The address of the peer that relays at present.
+	 */
+	private final Supplier<Optional<InetSocketAddress>> relay;
+
+	/**
+	 * Creates a store that is read through peers.
+	 * @param store the store
+	 * @param calls makes the calls to peers
+	 * @param relay the address of the peer that relays at present
+	 */
+	public RelayedStore(MetadataStore store, HttpCalls calls, Supplier<Optional<InetSocketAddress>> relay) {
+		this.store = store;
+		this.calls = calls;
+		this.relay = relay;
+	}
+
+	@Override
+	public CompletableFuture<StoreBatch> newest(StoreTopic topic) {
+		return this.store.newest(topic);
+	}
+
+	@Override
+	public CompletableFuture<StoreBatch> read(StoreTopic topic, long from, long waitMillis) {
+		Optional<InetSocketAddress> peer = this.relay.get();
+		if (peer.isEmpty()) {
+			return this.store.read(topic, from, waitMillis);
+		}
+		long wait = Math.max(waitMillis, LEAST_WAIT_MILLIS);
+		HttpCalls.Call call = HttpCalls.Call.get(RelayServer.uri(topic, from, wait));
+		CompletableFuture<StoreBatch> answer = new CompletableFuture<>();
+		this.calls.call(peer.get(), call, wait + TIMEOUT_MILLIS)
+			.thenApply(RelayedStore::batch)
+			.whenComplete((batch, failure) -> {
+				if (failure == null) {
+					answer.complete(batch);
+				}
+				else {
+					direct(topic, from, answer);
+				}
+			});
+		return answer;
+	}
+
+	private void direct(StoreTopic topic, long from, CompletableFuture<StoreBatch> answer) {
+		this.store.read(topic, from, 0).whenComplete((batch, failure) -> {
+			if (failure == null) {
+				answer.complete(batch);
+			}
+			else {
+				answer.completeExceptionally(failure);
+			}
+		});
+	}
+
+	private static StoreBatch batch(HttpCalls.Answer answer) {
+		if (answer.status() != OK) {
+			throw new StoreException("The relay answered " + answer.status(), false);
+		}
+		StoreBatch batch = RelayCodec.decode(answer.body());
+		if (batch.ageMillis() > GREATEST_AGE_MILLIS) {
+			throw new StoreException("The relay has lost the store", false);
+		}
+		return batch;
+	}
+
+	@Override
+	public CompletableFuture<Void> append(StoreTopic topic, String key, Optional<byte[]> value) {
+		return this.store.append(topic, key, value);
+	}
+
+}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreBatch.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreBatch.java
@@ -7,8 +7,10 @@
  *
  * @param records the records in their order
  * @param next the offset after the last of them
+ * @param ageMillis how long before the answer the store was asked, in milliseconds; 0 if
+ * the store itself answered
  */
-public record StoreBatch(List<StoreRecord> records, long next) {
+public record StoreBatch(List<StoreRecord> records, long next, long ageMillis) {
 
 	/**
 	 * Creates a batch.
@@ -17,4 +19,22 @@
 		records = List.copyOf(records);
 	}
 
+	/**
+	 * Creates a batch that the store itself answered.
+	 * @param records the records in their order
+	 * @param next the offset after the last of them
+	 */
+	public StoreBatch(List<StoreRecord> records, long next) {
+		this(records, next, 0);
+	}
+
+	/**
+	 * Returns the same records with an age.
+	 * @param millis the age in milliseconds
+	 * @return the batch
+	 */
+	public StoreBatch aged(long millis) {
+		return new StoreBatch(this.records, this.next, millis);
+	}
+
 }
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreFeed.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreFeed.java
@@ -12,7 +12,7 @@
  * Follows a topic of the store: reads its newest state, then each record after it, and
  * begins anew when the store has forgotten records in between.
  */
-public final class StoreFeed {
+public final class StoreFeed implements RelayServer.Source {
 
 	/**
 	 * The pause in milliseconds after the first call that failed; it doubles with each
@@ -51,6 +51,11 @@
 	 */
 	private final Freshness freshness;
 
+	/**
+	 * What was read, for peers.
+	 */
+	private final TopicCache cache;
+
 	/**
 	 * The offset of the next record, negative before the newest state was read.
 	 */
@@ -77,13 +82,16 @@
 	 * @param store the store
 	 * @param plan how the topic is followed
 	 * @param freshness the age of what was read, kept by this feed
+	 * @param cache keeps what was read for peers
 	 * @param listener whoever is told of records
 	 */
-	public StoreFeed(EventExecutor loop, MetadataStore store, Plan plan, Freshness freshness, Listener listener) {
+	public StoreFeed(EventExecutor loop, MetadataStore store, Plan plan, Freshness freshness, TopicCache cache,
+			Listener listener) {
 		this.loop = loop;
 		this.store = store;
 		this.plan = plan;
 		this.freshness = freshness;
+		this.cache = cache;
 		this.listener = listener;
 	}
 
@@ -108,6 +116,16 @@
 		});
 	}
 
+	@Override
+	public TopicCache cache() {
+		return this.cache;
+	}
+
+	@Override
+	public long ageMillis() {
+		return this.freshness.age();
+	}
+
 	/**
 	 * Ends the feed.
 	 */
@@ -122,12 +140,14 @@
 		}
 		this.pause = FIRST_PAUSE_MILLIS;
 		this.next = batch.next();
-		this.freshness.confirm(mark);
+		this.freshness.confirm(mark, batch.ageMillis());
 		this.listener.answered();
 		if (known) {
+			this.cache.add(batch);
 			batch.records().forEach(this.listener::record);
 		}
 		else {
+			this.cache.reset(batch);
 			this.listener.newest(batch);
 		}
 		later(known ? this.plan.pauseMillis() : 0);
--- /dev/null
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/TopicCache.java
@@ -0,0 +1,144 @@
+package org.ebonyford.gateway.store;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiPredicate;
+
+/**
+ * The newest record of each key of a topic, as far as this gateway has read it, from
+ * which peers read on. A record that says the same as the one before does not count as
+ * new: upstreams repeat their entries all the time.
+ */
+public final class TopicCache {
+
+	/**
+	 * Tells whether two records of a key say the same.
+	 */
+	private final BiPredicate<StoreRecord, StoreRecord> same;
+
+	/**
+	 * The newest record of each key.
+	 */
+	private final Map<String, Kept> newest = new HashMap<>();
+
+	/**
+	 * Whoever waits for a record.
+	 */
+	private final List<Waiting> waiting = new ArrayList<>();
+
+	/**
+	 * The least offset from which this cache can be read: what was removed before is not
+	 * known. Negative before anything was read.
+	 */
+	private long first = -1;
+
+	/**
+	 * The offset after the last record.
+	 */
+	private long next = -1;
+
+	/**
+	 * Creates a cache that knows nothing.
+	 * @param same tells whether two records of a key say the same
+	 */
+	public TopicCache(BiPredicate<StoreRecord, StoreRecord> same) {
+		this.same = same;
+	}
+
+	/**
+	 * Takes the newest state of the topic, and forgets what was known.
+	 * @param batch the newest record of each key
+	 */
+	public void reset(StoreBatch batch) {
+		this.newest.clear();
+		batch.records().forEach((record) -> this.newest.put(record.key(), new Kept(record, batch.next() - 1)));
+		this.first = batch.next();
+		this.next = batch.next();
+	}
+
+	/**
+	 * Takes the records that follow.
+	 * @param batch the records
+	 */
+	public void add(StoreBatch batch) {
+		boolean changed = false;
+		long offset = this.next;
+		for (StoreRecord record : batch.records()) {
+			Kept before = this.newest.get(record.key());
+			if (before == null || !this.same.test(before.record(), record)) {
+				this.newest.put(record.key(), new Kept(record, offset));
+				changed = true;
+			}
+			offset++;
+		}
+		this.next = batch.next();
+		if (changed) {
+			List<Waiting> told = new ArrayList<>(this.waiting);
+			this.waiting.clear();
+			told.forEach((peer) -> peer.answer().complete(since(peer.from())));
+		}
+	}
+
+	/**
+	 * Returns whether records can be read from an offset.
+	 * @param from the offset
+	 * @return {@code false} if records before may be missing
+	 */
+	public boolean reaches(long from) {
+		return this.first >= 0 && from >= this.first;
+	}
+
+	/**
+	 * Returns the newest records from an offset on, at once if there are any and
+	 * otherwise as soon as there are.
+	 * @param from the offset
+	 * @return the records in their order
+	 */
+	public CompletableFuture<StoreBatch> read(long from) {
+		StoreBatch batch = since(from);
+		if (!batch.records().isEmpty()) {
+			return CompletableFuture.completedFuture(batch);
+		}
+		Waiting peer = new Waiting(from, new CompletableFuture<>());
+		this.waiting.add(peer);
+		return peer.answer().whenComplete((read, failure) -> this.waiting.remove(peer));
+	}
+
+	/**
+	 * Returns the newest records from an offset on.
+	 * @param from the offset
+	 * @return the records in their order, and the offset after the last
+	 */
+	public StoreBatch since(long from) {
+		List<StoreRecord> records = this.newest.values()
+			.stream()
+			.filter((kept) -> kept.offset() >= from)
+			.sorted(Comparator.comparingLong(Kept::offset))
+			.map(Kept::record)
+			.toList();
+		return new StoreBatch(records, Math.max(this.next, from));
+	}
+
+	/**
+	 * A record and its offset.
+	 *
+	 * @param record the record
+	 * @param offset the offset
+	 */
+	private record Kept(StoreRecord record, long offset) {
+	}
+
+	/**
+	 * A peer that waits for a record.
+	 *
+	 * @param from the offset of the record
+	 * @param answer completes when there is one
+	 */
+	private record Waiting(long from, CompletableFuture<StoreBatch> answer) {
+	}
+
+}
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/peer/PeerReportTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/peer/PeerReportTest.java
@@ -16,27 +16,36 @@
 
 	@Test
 	public void testReportIsReadAsItWasWritten() {
-		PeerReport report = new PeerReport("10.0.0.1:7400", 250, Map.of(-5L, new Load(3, 12_000, 70_000)),
+		PeerReport report = new PeerReport("10.0.0.1:7400", 250, Map.of(-5, new Load(3, 12_000, 64_000)),
 				Map.of(9, new Usage(5_000, 4_000)));
 		assertEquals(PeerReport.decode(report.encode()).orElseThrow(), report);
 	}
 
 	@Test
 	public void testLargestReportFitsAPacket() {
-		Map<Long, Load> loads = new HashMap<>();
+		Map<Integer, Load> loads = new HashMap<>();
 		Map<Integer, Usage> usages = new HashMap<>();
-		for (int index = 0; index < PeerReport.GREATEST_ENTRIES; index++) {
-			loads.put((long) index, new Load(64, 1 << 30, 1 << 30));
+		for (int index = 0; index < PeerReport.GREATEST_LOADS; index++) {
+			loads.put(index, new Load(64, 1 << 30, 1 << 30));
+		}
+		for (int index = 0; index < PeerReport.GREATEST_USAGES; index++) {
 			usages.put(index, new Usage(1 << 30, 1 << 30));
 		}
 		byte[] bytes = new PeerReport("255.255.255.255:65535", Integer.MAX_VALUE, loads, usages).encode();
 		assertTrue(bytes.length < 1_472, bytes.length + " bytes");
-		assertEquals(PeerReport.decode(bytes).orElseThrow().loads().size(), PeerReport.GREATEST_ENTRIES);
+		assertEquals(PeerReport.decode(bytes).orElseThrow().loads().size(), PeerReport.GREATEST_LOADS);
+	}
+
+	@Test
+	public void testTokensAreNeverToldTooLow() {
+		Load load = new Load(1, 33, 1);
+		PeerReport report = new PeerReport("a:1", 1, Map.of(1, load), Map.of());
+		assertEquals(PeerReport.decode(report.encode()).orElseThrow().loads().get(1), new Load(1, 64, 32));
 	}
 
 	@Test
 	public void testDamagedReportsAreLeftOut() {
-		byte[] bytes = new PeerReport("a:1", 1, Map.of(1L, Load.NONE), Map.of(1, Usage.NONE)).encode();
+		byte[] bytes = new PeerReport("a:1", 1, Map.of(1, Load.NONE), Map.of(1, Usage.NONE)).encode();
 		for (int length = 0; length < bytes.length; length++) {
 			assertTrue(PeerReport.decode(Arrays.copyOf(bytes, length)).isEmpty(), length + " bytes");
 		}
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayTest.java
@@ -92,7 +92,7 @@
 	public void testGatewayThatIsCutOffSendsItsCallersElsewhere() {
 		this.fixture.configured();
 		this.fixture.upstream("u1", "opens", Script.ok("x"));
-		this.fixture.store().write(StoreTopic.GATEWAYS, "127.0.0.1:9", "dc2");
+		this.fixture.store().write(StoreTopic.GATEWAYS, "127.0.0.1:9", "dc2 9");
 		GatewayFixture.await("the peer is known", () -> this.fixture.metrics().contains("ebonyford_gateways 2"));
 		this.fixture.store().away(true);
 		GatewayFixture.await("not ready", () -> this.fixture.readiness() == 503);
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/settings/GatewaySettingsTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/settings/GatewaySettingsTest.java
@@ -24,6 +24,7 @@
 			readiness = 10.0.0.1:81
 			metrics = 10.0.0.1:82
 			peers = 10.0.0.1:83
+			relay = 10.0.0.1:83
 			[store]
 			address = 10.0.0.9:84
 			""";
--- a/ebonyford/src/main/java/org/ebonyford/directory/RouterRoster.java
+++ b/ebonyford/src/main/java/org/ebonyford/directory/RouterRoster.java
@@ -38,15 +38,11 @@
 
 	/**
 	 * Notes the announcement of a router.
-	 * @param name the name of the router
-	 * @param dataCentre the data centre of the router, empty if it does not tell
-	 * @param host the IP address at which its peers reach it
-	 * @param port the port at which its peers reach it
-	 * @param now the time in milliseconds
+	 * @param member the router
 	 */
-	public void announced(String name, String dataCentre, String host, int port, long now) {
-		if (!name.equals(this.self)) {
-			this.members.put(name, new Member(name, dataCentre, host, port, now));
+	public void announced(Member member) {
+		if (!member.name().equals(this.self)) {
+			this.members.put(member.name(), member);
 		}
 	}
 
@@ -64,8 +60,8 @@
 	 * @param now the time in milliseconds
 	 */
 	public void heard(String name, long now) {
-		this.members.computeIfPresent(name,
-				(key, member) -> new Member(name, member.dataCentre(), member.host(), member.port(), now));
+		this.members.computeIfPresent(name, (key, member) -> new Member(name, member.dataCentre(), member.host(),
+				member.port(), member.relayPort(), now));
 	}
 
 	/**
@@ -108,9 +104,10 @@
 	 * @param dataCentre the data centre of the router, empty if it does not tell
 	 * @param host the IP address at which its peers reach it
 	 * @param port the port at which its peers reach it
+	 * @param relayPort the port at which it lets peers read what it knows of the store
 	 * @param heardAt when it was last heard, in milliseconds
 	 */
-	public record Member(String name, String dataCentre, String host, int port, long heardAt) {
+	public record Member(String name, String dataCentre, String host, int port, int relayPort, long heardAt) {
 	}
 
 }
--- a/ebonyford/src/main/java/org/ebonyford/freshness/Freshness.java
+++ b/ebonyford/src/main/java/org/ebonyford/freshness/Freshness.java
@@ -91,13 +91,15 @@
 	 * Notes that a read was answered. A read that was sent before a divergence proves
 	 * nothing.
 	 * @param mark the mark from before its sending
+	 * @param ageMillis how old the answer was when it was given, in milliseconds
 	 */
-	public void confirm(Mark mark) {
+	public void confirm(Mark mark, long ageMillis) {
 		diverged();
 		if (mark.divergences() != this.divergences) {
 			return;
 		}
-		this.confirmed = this.known ? Math.max(this.confirmed, mark.sent()) : mark.sent();
+		long asOf = mark.sent() - ageMillis;
+		this.confirmed = this.known ? Math.max(this.confirmed, asOf) : asOf;
 		this.known = true;
 	}
 
--- a/ebonyford/src/main/java/org/ebonyford/lifecycle/Readiness.java
+++ b/ebonyford/src/main/java/org/ebonyford/lifecycle/Readiness.java
@@ -12,9 +12,9 @@
 
 	/**
 	 * The age in milliseconds of the configuration from which a router is not ready, if a
-	 * peer's is younger: over twice the longest wait of a read.
+	 * peer's is younger: what a relayed read may take, with a lost one.
 	 */
-	public static final long AGE_MILLIS = 2_500;
+	public static final long AGE_MILLIS = 3_000;
 
 	/**
 	 * The silence in milliseconds of all routers elsewhere after which a router without
--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -1,8 +1,6 @@
 package org.ebonyford.placement;
 
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.List;
 import java.util.Optional;
 
 import org.ebonyford.directory.Rendezvous;
@@ -147,12 +145,21 @@
 
 		static Homes of(Work work, Collection<UpstreamState> candidates) {
 			long key = work.homeKey();
-			List<Long> order = candidates.stream()
-				.map(UpstreamState::hash)
-				.sorted(Comparator.comparingLong((Long hash) -> Rendezvous.weight(key, hash)).reversed())
-				.limit(2)
-				.toList();
-			return new Homes(order.isEmpty() ? 0 : order.get(0), (order.size() < 2) ? 0 : order.get(1));
+			long[] hashes = new long[2];
+			long[] weights = { Long.MIN_VALUE, Long.MIN_VALUE };
+			for (UpstreamState candidate : candidates) {
+				long weight = Rendezvous.weight(key, candidate.hash());
+				int place = (weight > weights[0]) ? 0 : (weight > weights[1]) ? 1 : 2;
+				if (place == 0) {
+					hashes[1] = hashes[0];
+					weights[1] = weights[0];
+				}
+				if (place < 2) {
+					hashes[place] = candidate.hash();
+					weights[place] = weight;
+				}
+			}
+			return new Homes(hashes[0], hashes[1]);
 		}
 
 		boolean contains(UpstreamState candidate) {
--- a/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
@@ -80,6 +80,16 @@
 	 */
 	private final Map<String, PeerLoad> peers = new HashMap<>();
 
+	/**
+	 * The sum of these loads, so that a decision does not take longer with more peers.
+	 */
+	private Load peerSum = Load.NONE;
+
+	/**
+	 * When the first of these loads counts no more, in milliseconds.
+	 */
+	private long peersUntil = Long.MAX_VALUE;
+
 	/**
 	 * The load from this router.
 	 */
@@ -137,6 +147,14 @@
 		return this.hash;
 	}
 
+	/**
+	 * Returns a shorter hash of the identifier, by which reports name the upstream.
+	 * @return the upper half of the hash
+	 */
+	public int shortHash() {
+		return (int) (this.hash >>> Integer.SIZE);
+	}
+
 	/**
 	 * Returns the health.
 	 * @return the health, to be told of requests
@@ -217,7 +235,10 @@
 	 * @param now the time in milliseconds
 	 */
 	public void peer(String peer, Load load, long now) {
-		this.peers.put(peer, new PeerLoad(load, now));
+		PeerLoad before = load.equals(Load.NONE) ? this.peers.remove(peer)
+				: this.peers.put(peer, new PeerLoad(load, now));
+		this.peerSum = this.peerSum.plus(load).minus((before != null) ? before.load() : Load.NONE);
+		this.peersUntil = Math.min(this.peersUntil, now + PEER_MILLIS);
 	}
 
 	/**
@@ -226,11 +247,20 @@
 	 * @return the sum of what is known
 	 */
 	public Load total(long now) {
-		Load sum = this.own;
-		for (PeerLoad peer : this.peers.values()) {
-			sum = (now - peer.receivedAt() <= PEER_MILLIS) ? sum.plus(peer.load()) : sum;
+		if (now > this.peersUntil) {
+			expirePeers(now);
 		}
-		return sum;
+		return this.own.plus(this.peerSum);
+	}
+
+	private void expirePeers(long now) {
+		this.peers.values().removeIf((peer) -> now - peer.receivedAt() > PEER_MILLIS);
+		this.peerSum = Load.NONE;
+		this.peersUntil = Long.MAX_VALUE;
+		this.peers.values().forEach((peer) -> {
+			this.peerSum = this.peerSum.plus(peer.load());
+			this.peersUntil = Math.min(this.peersUntil, peer.receivedAt() + PEER_MILLIS);
+		});
 	}
 
 	/**
--- a/ebonyford/src/test/java/org/ebonyford/freshness/FreshnessTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/freshness/FreshnessTest.java
@@ -31,20 +31,28 @@
 	public void testAgeCountsFromTheSendingOfTheRead() {
 		Freshness.Mark mark = this.freshness.mark();
 		pass(700);
-		this.freshness.confirm(mark);
+		this.freshness.confirm(mark, 0);
 		assertEquals(this.freshness.age(), 700);
 	}
 
+	@Test
+	public void testAnswerOfARelayIsAsOldAsWhatTheRelayKnows() {
+		Freshness.Mark mark = this.freshness.mark();
+		pass(700);
+		this.freshness.confirm(mark, 400);
+		assertEquals(this.freshness.age(), 1_100);
+	}
+
 	@Test
 	public void testSuspendedMachineKnowsNothing() {
-		this.freshness.confirm(this.freshness.mark());
+		this.freshness.confirm(this.freshness.mark(), 0);
 		this.wall += 4_000;
 		assertEquals(this.freshness.age(), Freshness.NEVER, "the monotonic clock stood still for 4 s");
 	}
 
 	@Test
 	public void testClockSetBackMakesEverythingOld() {
-		this.freshness.confirm(this.freshness.mark());
+		this.freshness.confirm(this.freshness.mark(), 0);
 		this.wall -= 2_000;
 		assertTrue(this.freshness.diverged());
 		assertEquals(this.freshness.age(), Freshness.NEVER);
@@ -54,7 +62,7 @@
 	public void testReadSentBeforeSuspensionProvesNothing() {
 		Freshness.Mark mark = this.freshness.mark();
 		this.wall += 4_000;
-		this.freshness.confirm(mark);
+		this.freshness.confirm(mark, 0);
 		assertEquals(this.freshness.age(), Freshness.NEVER);
 	}
 
@@ -62,7 +70,7 @@
 	public void testReadAfterDivergenceIsKnown() {
 		this.wall += 4_000;
 		assertTrue(this.freshness.diverged());
-		this.freshness.confirm(this.freshness.mark());
+		this.freshness.confirm(this.freshness.mark(), 0);
 		pass(100);
 		assertEquals(this.freshness.age(), 100);
 		assertFalse(this.freshness.diverged());
@@ -72,8 +80,8 @@
 	public void testEarlierReadDoesNotMakeKnowledgeOlder() {
 		Freshness.Mark earlier = this.freshness.mark();
 		pass(500);
-		this.freshness.confirm(this.freshness.mark());
-		this.freshness.confirm(earlier);
+		this.freshness.confirm(this.freshness.mark(), 0);
+		this.freshness.confirm(earlier, 0);
 		assertEquals(this.freshness.age(), 0);
 	}
 
