--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -52,6 +52,11 @@
 	 */
 	private static final long MEMORY_TOKENS = 500_000;
 
+	/**
+	 * The longest pause of a stream that is on time, in milliseconds.
+	 */
+	private static final double PAUSE_MILLIS = 400;
+
 	/**
 	 * The time in milliseconds between two reports of a router.
 	 */
@@ -163,7 +168,7 @@
 		long tokens = request.work().shareTokens();
 		router.shares.asked(request.organisation(), tokens, now);
 		double used = router.shares.used(request.organisation(), now);
-		Terms terms = new Terms(Admission.limitMillis(request.targetMillis(), used, 10_000), used);
+		Terms terms = new Terms(Admission.limitMillis(request.targetMillis(), used, 10_000), used, PAUSE_MILLIS);
 		Optional<Choice> choice = this.policy.choose(new Policy.Scene(router.pace, request.work(),
 				router.states.values(), terms, now, (state) -> engine(state).begins(request.work(), now)));
 		if (choice.isEmpty() || !this.policy.takes(choice.get(), terms)) {
--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Policy.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Policy.java
@@ -111,7 +111,7 @@
 			return scene.candidates()
 				.stream()
 				.min(Comparator.comparingInt((UpstreamState state) -> state.total(scene.now()).running()))
-				.map((state) -> new Choice(state, 0, 0, scene.work().promptTokens(), 0, 0, false));
+				.map((state) -> new Choice(state, 0, 0, 0, scene.work().promptTokens(), 0, 0, false));
 		}
 
 		@Override
@@ -137,7 +137,7 @@
 			return scene.candidates()
 				.stream()
 				.min(Comparator.comparingDouble(scene.truth()))
-				.map((state) -> new Choice(state, scene.truth().applyAsDouble(state), Double.MAX_VALUE, 0, 0, 0,
+				.map((state) -> new Choice(state, scene.truth().applyAsDouble(state), Double.MAX_VALUE, 0, 0, 0, 0,
 						false));
 		}
 
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -312,7 +312,8 @@
 		long now = this.serving.clock().millis();
 		List<Upstream> candidates = this.serving.candidates(this.service, this.tried);
 		double used = this.organisation.isEmpty() ? 0 : this.serving.shares().used(this.organisation.hashCode(), now);
-		Terms terms = new Terms(Admission.limitMillis(this.route.targetMillis(), used, remaining()), used);
+		Terms terms = new Terms(Admission.limitMillis(this.route.targetMillis(), used, remaining()), used,
+				this.route.gapMillis());
 		Optional<Choice> choice = this.service.placement()
 			.choose(this.work, ServiceState.states(candidates), terms, now);
 		if (choice.isEmpty()) {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreFeed.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreFeed.java
@@ -24,7 +24,7 @@
 	 * The longest pause in milliseconds between calls that fail: short against the bound
 	 * within which a change of the configuration has to be in force.
 	 */
-	private static final long LONGEST_PAUSE_MILLIS = 400;
+	private static final long LONGEST_PAUSE_MILLIS = 900;
 
 	/**
 	 * The event loop.
--- a/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
@@ -34,6 +34,18 @@
 	 */
 	private static final double SPARE_SLOTS = 1;
 
+	/**
+	 * The part of the longest pause of a stream from which reading a prompt counts as
+	 * stalling the other streams of its engine: they advance only between its chunks.
+	 */
+	private static final double STALLING = 0.85;
+
+	/**
+	 * The part of an engine's slots up to which requests may run for a prompt that stalls
+	 * them. One long prompt is not worth the delay of more streams.
+	 */
+	private static final double STALLED_SLOTS = 0.25;
+
 	/**
 	 * The wait in milliseconds behind other requests below which nothing is refused, as
 	 * the upstream has room.
@@ -92,9 +104,22 @@
 		if (terms.beyond() && choice.running() >= spareSlots(choice, terms.usedShare())) {
 			return false;
 		}
+		if (stalls(choice, terms) && choice.running() > choice.upstream().entry().slots() * STALLED_SLOTS) {
+			return false;
+		}
 		return choice.firstMillis() <= terms.limitMillis() || choice.aheadMillis() <= NO_WAIT_MILLIS;
 	}
 
+	/**
+	 * Returns whether reading a prompt makes the other streams of its engine late.
+	 * @param choice the engine chosen for it
+	 * @param terms the terms of the request
+	 * @return {@code true} if their pauses grow beyond what is on time
+	 */
+	public static boolean stalls(Choice choice, Terms terms) {
+		return terms.pauseMillis() > 0 && choice.readMillis() > terms.pauseMillis() * STALLING;
+	}
+
 	private static double spareSlots(Choice choice, double usedShare) {
 		return choice.upstream().entry().slots() * SPARE_SLOTS / Math.sqrt(usedShare);
 	}
--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -52,6 +52,12 @@
 		 */
 		private static final double MEMORY_PART = 0.92;
 
+		/**
+		 * The delay in milliseconds that a stalled stream counts for: a late stream is
+		 * worth less than half of one on time.
+		 */
+		private static final double STALLED_MILLIS = 200;
+
 		/**
 		 * The delay in milliseconds that a share of failures of 1 counts for.
 		 */
@@ -97,7 +103,8 @@
 					continue;
 				}
 				Choice choice = predict(work, candidate, load, homes, now);
-				double cost = cost(work, choice, homes, now);
+				double cost = cost(work, choice, homes, now)
+						+ (Admission.stalls(choice, terms) ? STALLED_MILLIS * load.running() : 0);
 				if (Admission.takes(choice, terms) && cost < leastCost) {
 					best = choice;
 					leastCost = cost;
@@ -115,8 +122,8 @@
 			int slots = Math.max(candidate.entry().slots(), 1);
 			double queued = Math.max(load.running() + 1 - slots, 0) * this.pace.wholeMillis() / slots;
 			double ahead = (this.pace.readMillis(load.reading()) + queued) * slowness;
-			return new Choice(candidate, ahead + this.pace.firstMillis(unread) * slowness, ahead, unread,
-					load.reading(), load.running(), home);
+			return new Choice(candidate, ahead + this.pace.firstMillis(unread) * slowness, ahead,
+					this.pace.readMillis(unread) * slowness, unread, load.reading(), load.running(), home);
 		}
 
 		private double cost(Work work, Choice choice, Homes homes, long now) {
@@ -225,7 +232,7 @@
 				double failing = FAILURE_ANSWERS * each * candidate.health().failureShare(now);
 				double cost = each + ahead + busy + distance + failing;
 				if (cost < leastCost) {
-					best = new Choice(candidate, each + ahead, ahead, 0, 0, running, false);
+					best = new Choice(candidate, each + ahead, ahead, 0, 0, 0, running, false);
 					leastCost = cost;
 				}
 			}
--- a/ebonyford/src/main/java/org/ebonyford/placement/Terms.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Terms.java
@@ -5,8 +5,10 @@
  *
  * @param limitMillis the time in milliseconds within which the first byte should come
  * @param usedShare the part of its fair share that the organisation has used
+ * @param pauseMillis the longest pause between events with which a stream of the service
+ * is on time, in milliseconds; 0 if answers are no streams
  */
-public record Terms(double limitMillis, double usedShare) {
+public record Terms(double limitMillis, double usedShare, double pauseMillis) {
 
 	/**
 	 * Returns whether the organisation is beyond its share: it gets what others leave,
--- a/ebonyford/src/test/java/org/ebonyford/placement/PlacementTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/placement/PlacementTest.java
@@ -15,7 +15,7 @@
 
 public class PlacementTest {
 
-	private static final Terms TERMS = new Terms(600, 1);
+	private static final Terms TERMS = new Terms(600, 1, 400);
 
 	private static final Work CHAT = Work
 		.of(List.of(new PromptPart(1, 500), new PromptPart(2, 5_000), new PromptPart(3, 2_000)), 7_500, 300);
@@ -48,9 +48,9 @@
 		states.forEach((state) -> state.sent(new Load(10, 0, 0), 0));
 		UpstreamState home = choose(states, TERMS).upstream();
 		home.sent(new Load(1, 100_000, 0), 0);
-		UpstreamState second = choose(states, new Terms(600, 1.5)).upstream();
+		UpstreamState second = choose(states, new Terms(600, 1.5, 400)).upstream();
 		second.sent(new Load(1, 100_000, 0), 0);
-		UpstreamState third = choose(states, new Terms(600, 1.5)).upstream();
+		UpstreamState third = choose(states, new Terms(600, 1.5, 400)).upstream();
 		assertTrue(third == home || third == second, "no third engine reads the shared parts");
 	}
 
@@ -131,19 +131,38 @@
 	@Test
 	public void testNothingIsRefusedThatWaitsForNobody() {
 		UpstreamState state = states(1).get(0);
-		assertTrue(Admission.takes(new Choice(state, 5_000, 0, 50_000, 0, 0, true), new Terms(100, 1)));
-		assertTrue(!Admission.takes(new Choice(state, 500, 300, 0, 30_000, 0, true), new Terms(400, 1)));
+		assertTrue(Admission.takes(new Choice(state, 5_000, 0, 0, 50_000, 0, 0, true), new Terms(100, 1, 400)));
+		assertTrue(!Admission.takes(new Choice(state, 500, 300, 0, 0, 30_000, 0, true), new Terms(400, 1, 400)));
 	}
 
 	@Test
 	public void testOrganisationsBeyondTheirShareGetSlotsThatAreToSpare() {
 		UpstreamState state = states(1).get(0);
-		Choice half = new Choice(state, 100, 0, 0, 0, 32, true);
-		assertTrue(Admission.takes(half, new Terms(400, 1)));
-		assertTrue(Admission.takes(half, new Terms(400, 2)));
-		assertFalse(Admission.takes(half, new Terms(400, 5)), "who has used more leaves more slots free");
-		assertFalse(Admission.takes(new Choice(state, 100, 0, 0, 0, 64, true), new Terms(400, 1.01)));
-		assertTrue(Admission.takes(new Choice(state, 100, 0, 0, 0, 64, true), new Terms(400, 1)));
+		Choice half = new Choice(state, 100, 0, 0, 0, 0, 32, true);
+		assertTrue(Admission.takes(half, new Terms(400, 1, 400)));
+		assertTrue(Admission.takes(half, new Terms(400, 2, 400)));
+		assertFalse(Admission.takes(half, new Terms(400, 5, 400)), "who has used more leaves more slots free");
+		assertFalse(Admission.takes(new Choice(state, 100, 0, 0, 0, 0, 64, true), new Terms(400, 1.01, 400)));
+		assertTrue(Admission.takes(new Choice(state, 100, 0, 0, 0, 0, 64, true), new Terms(400, 1, 400)));
+	}
+
+	/**
+	 * The load of a prompt of tens of thousands of tokens beside running streams.
+	 */
+	@Test
+	public void testPromptThatStallsStreamsGoesWhereFewRun() {
+		List<UpstreamState> states = states(3);
+		states.get(0).sent(new Load(12, 0, 0), 0);
+		states.get(1).sent(new Load(3, 0, 0), 0);
+		states.get(2).sent(new Load(12, 0, 0), 0);
+		Work small = Work.of(List.of(new PromptPart(5, 40_000)), 40_000, 300);
+		Choice choice = this.engines.choose(small, states, TERMS, 0).orElseThrow();
+		assertTrue(Admission.stalls(choice, TERMS), "40,000 tokens take " + choice.readMillis() + " ms");
+		assertEquals(choice.upstream(), states.get(1));
+		states.forEach((state) -> state.sent(new Load(20, 0, 0), 0));
+		assertFalse(Admission.takes(this.engines.choose(small, states, TERMS, 0).orElseThrow(), TERMS),
+				"it is not worth the delay of twenty streams");
+		assertTrue(Admission.takes(choose(states, TERMS), TERMS), "a shorter prompt is taken");
 	}
 
 	private Choice choose(List<UpstreamState> states, Terms terms) {
