--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -64,6 +64,12 @@
 	 */
 	private static final double UNAVAILABLE_RETRY_MILLIS = 500;
 
+	/**
+	 * The time in milliseconds after which a request may come back that was refused as
+	 * the gateway is behind: the balancer gives it to another one.
+	 */
+	private static final double BEHIND_RETRY_MILLIS = 250;
+
 	/**
 	 * The scheme of the {@code Authorization} header.
 	 */
@@ -229,6 +235,10 @@
 			refuse(400, "the request has no identifier", 0);
 			return;
 		}
+		if (this.serving.behind()) {
+			refuse(503, "the gateway is behind", BEHIND_RETRY_MILLIS);
+			return;
+		}
 		if (this.serving.catalog().isEmpty()) {
 			refuse(503, "no configuration is known", UNAVAILABLE_RETRY_MILLIS);
 			return;
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
@@ -81,6 +81,12 @@
 	 */
 	boolean takes(boolean stream);
 
+	/**
+	 * Returns whether requests are read late, so that new ones are refused at once.
+	 * @return {@code true} while the process is behind its callers
+	 */
+	boolean behind();
+
 	/**
 	 * Returns a service.
 	 * @param name the name
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -17,6 +17,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -50,6 +51,7 @@
 import org.ebonyford.gateway.store.StoreTopic;
 import org.ebonyford.gateway.store.TopicCache;
 import org.ebonyford.gateway.wire.Adapter;
+import org.ebonyford.lifecycle.Backlog;
 import org.ebonyford.lifecycle.Readiness;
 import org.ebonyford.placement.UpstreamState;
 import org.ebonyford.retry.ColdAllowance;
@@ -128,6 +130,18 @@
 	 */
 	private static final long SAMPLE_MILLIS = 250;
 
+	/**
+	 * The connections that may wait to be accepted. Beyond them a caller's first packet
+	 * is lost, and comes again after seconds.
+	 */
+	private static final int ACCEPT_QUEUE = 4_096;
+
+	/**
+	 * The connections that are accepted in a turn of the event loop, so that the queue
+	 * does not fill while turns are long.
+	 */
+	private static final int ACCEPTED_AT_ONCE = 256;
+
 	/**
 	 * The status code of a health check that is good.
 	 */
@@ -218,6 +232,11 @@
 	 */
 	private final Map<StoreTopic, StoreFeed> feeds = new EnumMap<>(StoreTopic.class);
 
+	/**
+	 * Whether requests are read late.
+	 */
+	private final Backlog backlog = new Backlog();
+
 	/**
 	 * The sockets that listen.
 	 */
@@ -302,7 +321,9 @@
 	private InetSocketAddress listen(InetSocketAddress address, ChannelInitializer<SocketChannel> handler) {
 		Channel channel = new ServerBootstrap().group(this.group)
 			.channel(NioServerSocketChannel.class)
-			.option(ChannelOption.SO_BACKLOG, 1024)
+			.option(ChannelOption.SO_BACKLOG, ACCEPT_QUEUE)
+			.option(ChannelOption.RCVBUF_ALLOCATOR,
+					new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE))
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childHandler(handler)
@@ -336,6 +357,8 @@
 	private void begin(int relayPort) {
 		this.feeds.values().forEach(StoreFeed::readNow);
 		this.peering.announce(this.loop, this.store, relayPort);
+		this.loop.scheduleWithFixedDelay(() -> this.backlog.read(this.clock.millis()), 0, Backlog.PERIOD_MILLIS,
+				TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
@@ -536,6 +559,11 @@
 		return this.endingSince == 0 || this.clock.millis() - this.endingSince < until;
 	}
 
+	@Override
+	public boolean behind() {
+		return this.backlog.behind();
+	}
+
 	@Override
 	public ServiceState service(String name) {
 		return this.beliefs.service(name);
--- /dev/null
+++ b/ebonyford/src/main/java/org/ebonyford/lifecycle/Backlog.java
@@ -0,0 +1,55 @@
+package org.ebonyford.lifecycle;
+
+/**
+ * Tells when a process falls behind its callers, from how late its own timer runs. It
+ * answers the load of more requests than one VM can read: what is read late would reach
+ * an upstream after its caller has left, so it is refused before anything is decided
+ * about it, which is what lets the process catch up.
+ */
+public final class Backlog {
+
+	/**
+	 * The time in milliseconds between two readings.
+	 */
+	public static final long PERIOD_MILLIS = 50;
+
+	/**
+	 * The delay in milliseconds from which the process is behind: a third of the shortest
+	 * latency targets, well over a collection of garbage.
+	 */
+	private static final long BEHIND_MILLIS = 150;
+
+	/**
+	 * The delay in milliseconds below which it has caught up.
+	 */
+	private static final long CALM_MILLIS = 40;
+
+	/**
+	 * When the timer last ran, in milliseconds; negative before that.
+	 */
+	private long readAt = -1;
+
+	/**
+	 * Whether the process is behind.
+	 */
+	private boolean behind;
+
+	/**
+	 * Notes that the timer runs.
+	 * @param now the time in milliseconds
+	 */
+	public void read(long now) {
+		long delay = (this.readAt < 0) ? 0 : now - this.readAt - PERIOD_MILLIS;
+		this.behind = delay > (this.behind ? CALM_MILLIS : BEHIND_MILLIS);
+		this.readAt = now;
+	}
+
+	/**
+	 * Returns whether requests are read late.
+	 * @return {@code true} from a late reading until one in time
+	 */
+	public boolean behind() {
+		return this.behind;
+	}
+
+}
--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -68,6 +68,13 @@
 		 */
 		private static final double DISTANCE_MILLIS = 8;
 
+		/**
+		 * The number of engines, besides the homes, that are looked at for a request.
+		 * Among many engines a look at some finds nearly as good a place as a look at all
+		 * and keeps routers with old reports from choosing alike.
+		 */
+		private static final int SAMPLED = 12;
+
 		/**
 		 * The data centre of this router.
 		 */
@@ -78,6 +85,11 @@
 		 */
 		private final ServicePace pace;
 
+		/**
+		 * The number of requests that were placed, by which the engines take turns.
+		 */
+		private int decisions;
+
 		/**
 		 * Creates a placement.
 		 * @param dataCentre the data centre of this router
@@ -91,11 +103,18 @@
 		@Override
 		public Optional<Choice> choose(Work work, Collection<UpstreamState> candidates, Terms terms, long now) {
 			Homes homes = Homes.of(work, candidates);
+			int stride = Math.max(candidates.size() / SAMPLED, 1);
+			int offset = Math.floorMod(this.decisions++, stride);
+			int index = 0;
 			boolean bound = terms.beyond() && work.sharedTokens() >= BOUND_TOKENS;
 			Choice best = null;
 			double leastCost = Double.POSITIVE_INFINITY;
 			Choice soonest = null;
 			for (UpstreamState candidate : candidates) {
+				boolean sampled = index++ % stride == offset;
+				if (!sampled && !homes.contains(candidate)) {
+					continue;
+				}
 				Load load = candidate.total(now);
 				boolean full = load.memory() + work.memoryTokens() > candidate.memoryTokens() * MEMORY_PART;
 				boolean idle = load.running() <= candidate.entry().slots() * IDLE_SLOTS;
--- a/ebonyford/src/main/java/org/ebonyford/placement/UpstreamHealth.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/UpstreamHealth.java
@@ -34,6 +34,12 @@
 	 */
 	private static final double FORGOTTEN_PER_SECOND = 0.15;
 
+	/**
+	 * The least time in milliseconds between two decays: a finer step changes no
+	 * decision.
+	 */
+	private static final long DECAY_MILLIS = 50;
+
 	/**
 	 * The part of the requests that fail.
 	 */
@@ -154,10 +160,11 @@
 	}
 
 	private void decay(long now) {
-		if (now > this.decayedAt) {
-			double part = 1 - Math.pow(1 - FORGOTTEN_PER_SECOND, (now - this.decayedAt) / 1_000.0);
-			this.failures.decay(0, Math.min(part, 1));
+		if (now - this.decayedAt < DECAY_MILLIS) {
+			return;
 		}
+		double part = 1 - Math.pow(1 - FORGOTTEN_PER_SECOND, (now - this.decayedAt) / 1_000.0);
+		this.failures.decay(0, Math.min(part, 1));
 		this.decayedAt = now;
 	}
 
--- a/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
@@ -34,6 +34,12 @@
 	 */
 	private static final double FORGOTTEN_PER_SECOND = 0.12;
 
+	/**
+	 * The least time in milliseconds between two decays: a finer step changes no
+	 * decision.
+	 */
+	private static final long DECAY_MILLIS = 50;
+
 	/**
 	 * The part of an engine's memory that parts of ended requests are believed to keep.
 	 * What runs takes the rest.
@@ -284,6 +290,9 @@
 	}
 
 	private void decay(long now) {
+		if (now - this.decayedAt < DECAY_MILLIS) {
+			return;
+		}
 		double part = 1 - Math.pow(1 - FORGOTTEN_PER_SECOND, (now - this.decayedAt) / 1_000.0);
 		this.slowness.decay(1, Math.max(0, Math.min(part, 1)));
 		this.decayedAt = now;
--- a/ebonyford/src/test/java/org/ebonyford/placement/PlacementTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/placement/PlacementTest.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.testng.annotations.Test;
 
@@ -165,6 +167,20 @@
 		assertTrue(Admission.takes(choose(states, TERMS), TERMS), "a shorter prompt is taken");
 	}
 
+	@Test
+	public void testAmongManyEnginesRequestsAreSpread() {
+		List<UpstreamState> states = states(80);
+		Work alone = Work.of(List.of(new PromptPart(7, 100)), 100, 100);
+		Set<String> chosen = new HashSet<>();
+		for (int index = 0; index < 60; index++) {
+			UpstreamState state = this.engines.choose(alone, states, TERMS, 0).orElseThrow().upstream();
+			state.sent(new Load(1, 100, 200), 0);
+			chosen.add(state.entry().id());
+		}
+		assertTrue(chosen.size() > 30, chosen.size() + " of 80 engines got 60 requests");
+		assertEquals(choose(states, TERMS).upstream(), choose(states, TERMS).upstream(), "the home is always seen");
+	}
+
 	private Choice choose(List<UpstreamState> states, Terms terms) {
 		return this.engines.choose(CHAT, states, terms, 0).orElseThrow();
 	}
