--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Beliefs.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Beliefs.java
@@ -95,8 +95,18 @@
 		return this.catalog.isPresent() && this.upstreamsKnown;
 	}
 
-	UpstreamDirectory directory() {
-		return this.directory;
+	/**
+	 * Notes that the store does not answer, so that entries may lapse.
+	 */
+	void storeAway() {
+		this.directory.storeAway();
+	}
+
+	/**
+	 * Notes that the store answers again.
+	 */
+	void storeBack() {
+		this.directory.storeBack(this.clock.millis());
 	}
 
 	Set<String> evacuated() {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -45,11 +43,6 @@
 import org.ebonyford.gateway.store.MetadataStore;
 import org.ebonyford.gateway.store.RelayServer;
 import org.ebonyford.gateway.store.RelayedStore;
-import org.ebonyford.gateway.store.StoreBatch;
-import org.ebonyford.gateway.store.StoreFeed;
-import org.ebonyford.gateway.store.StoreRecord;
-import org.ebonyford.gateway.store.StoreTopic;
-import org.ebonyford.gateway.store.TopicCache;
 import org.ebonyford.gateway.wire.Adapter;
 import org.ebonyford.lifecycle.Backlog;
 import org.ebonyford.lifecycle.Readiness;
@@ -69,23 +62,6 @@
 	 */
 	private static final long TICK_MILLIS = 100;
 
-	/**
-	 * How long in milliseconds the store may wait for a record of the operator. It bounds
-	 * the age of the configuration, together with the time of a call.
-	 */
-	private static final long OPERATOR_WAIT_MILLIS = 600;
-
-	/**
-	 * The pause in milliseconds between two reads of the upstreams' entries: short
-	 * against the two seconds within which a draining upstream must get nothing more.
-	 */
-	private static final long UPSTREAMS_PAUSE_MILLIS = 350;
-
-	/**
-	 * How long in milliseconds the store may wait for the announcement of a gateway.
-	 */
-	private static final long GATEWAYS_WAIT_MILLIS = 5_000;
-
 	/**
 	 * The time in milliseconds by which keys are refused before their revocation has to
 	 * be in force, for the way to the upstream.
@@ -227,11 +203,6 @@
 	 */
 	private final OrganisationShares shares;
 
-	/**
-	 * The feeds from the store.
-	 */
-	private final Map<StoreTopic, StoreFeed> feeds = new EnumMap<>(StoreTopic.class);
-
 	/**
 	 * Whether requests are read late.
 	 */
@@ -248,9 +219,9 @@
 	private MetadataStore store;
 
 	/**
-	 * Whether the store answers, empty before the first call.
+	 * Follows the topics of the store.
 	 */
-	private Optional<Boolean> storeAnswers = Optional.empty();
+	private StoreFollower follower;
 
 	/**
 	 * Whether the balancer was told last that the gateway is ready.
@@ -308,8 +279,9 @@
 		bound.put("callers", listen(this.settings.callers(), this.callers));
 		this.store = new RelayedStore(this.adapter.store(this.calls, this.settings.store()), this.calls,
 				this.peering::relay);
-		follow();
-		InetSocketAddress relay = listen(this.settings.relay(), new RelayServer(this.feeds::get));
+		this.follower = new StoreFollower(this.loop, this.store, this.freshness,
+				() -> new Freshness(this.clock, this.wall), this.beliefs, this.peering, this.log);
+		InetSocketAddress relay = listen(this.settings.relay(), new RelayServer(this.follower::source));
 		gauges();
 		this.loop.execute(() -> begin(relay.getPort()));
 		this.log.write(LogLine.of(GatewayEvent.STARTED)
@@ -344,30 +316,14 @@
 		this.metrics.gauge("ebonyford_log_lines_dropped", this.log::dropped);
 	}
 
-	private void follow() {
-		feed(new StoreFeed.Plan(StoreTopic.OPERATOR, OPERATOR_WAIT_MILLIS, 0), this.freshness,
-				new Listener(this.beliefs::operatorNewest, this.beliefs::operatorRecord));
-		feed(new StoreFeed.Plan(StoreTopic.UPSTREAMS, 0, UPSTREAMS_PAUSE_MILLIS), new Freshness(this.clock, this.wall),
-				new Listener(this.beliefs::upstreamsNewest, this.beliefs::upstreamRecord));
-		feed(new StoreFeed.Plan(StoreTopic.GATEWAYS, GATEWAYS_WAIT_MILLIS, 0), new Freshness(this.clock, this.wall),
-				new Listener((batch) -> batch.records().forEach(this.peering::announcement),
-						this.peering::announcement));
-	}
-
 	private void begin(int relayPort) {
-		this.feeds.values().forEach(StoreFeed::readNow);
+		this.follower.readNow();
 		this.peering.announce(this.loop, this.store, relayPort);
 		this.loop.scheduleWithFixedDelay(() -> this.backlog.read(this.clock.millis()), 0, Backlog.PERIOD_MILLIS,
 				TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
-	private void feed(StoreFeed.Plan plan, Freshness age, StoreFeed.Listener listener) {
-		TopicCache cache = new TopicCache(
-				(before, after) -> plan.topic() == StoreTopic.UPSTREAMS && this.beliefs.sameUpstream(before, after));
-		this.feeds.put(plan.topic(), new StoreFeed(this.loop, this.store, plan, age, cache, listener));
-	}
-
 	private Upstream upstream(UpstreamEntry entry) {
 		ServiceState service = service(entry.service());
 		UpstreamState state = new UpstreamState(entry,
@@ -406,7 +362,7 @@
 		this.log.write(LogLine.of(GatewayEvent.CLOCKS_DIVERGED));
 		this.calls.closeIdle();
 		this.beliefs.upstreams().forEach((upstream) -> upstream.pool().closeIdle());
-		this.feeds.values().forEach(StoreFeed::readNow);
+		this.follower.readNow();
 	}
 
 	private void check(Upstream upstream, long now) {
@@ -451,7 +407,7 @@
 		List<RouterRoster.Member> elsewhere = this.peering.elsewhere();
 		long heardAt = elsewhere.stream().mapToLong(RouterRoster.Member::heardAt).max().orElse(0);
 		return Readiness.obstacle(new Readiness.View(this.endingSince > 0, this.beliefs.complete(), catalogAge(),
-				this.storeAnswers.orElse(true), this.peering.youngestAge(), elsewhere.size(),
+				this.follower.storeAnswers(), this.peering.youngestAge(), elsewhere.size(),
 				this.clock.millis() - heardAt));
 	}
 
@@ -492,7 +448,7 @@
 		boolean last = waited >= this.settings.graceMillis() - END_MARGIN_MILLIS;
 		if (last || (waited > BALANCER_MILLIS && this.callers.busy() == 0)) {
 			this.log.write(LogLine.of(GatewayEvent.STOPPED).with("open", this.callers.busy()));
-			this.feeds.values().forEach(StoreFeed::close);
+			this.follower.close();
 			ended.complete(null);
 			return;
 		}
@@ -619,55 +575,4 @@
 		return true;
 	}
 
-	/**
-	 * Takes what a feed reads, and notes whether the store answers.
-	 *
-	 */
-	private final class Listener implements StoreFeed.Listener {
-
-		/**
-		 * Takes the newest state.
-		 */
-		private final Consumer<StoreBatch> newest;
-
-		/**
-		 * Takes a record.
-		 */
-		private final Consumer<StoreRecord> record;
-
-		Listener(Consumer<StoreBatch> newest, Consumer<StoreRecord> record) {
-			this.newest = newest;
-			this.record = record;
-		}
-
-		@Override
-		public void newest(StoreBatch batch) {
-			this.newest.accept(batch);
-		}
-
-		@Override
-		public void record(StoreRecord read) {
-			this.record.accept(read);
-		}
-
-		@Override
-		public void answered() {
-			if (!Gateway.this.storeAnswers.orElse(false)) {
-				Gateway.this.log.write(LogLine.of(GatewayEvent.STORE_REGAINED));
-				Gateway.this.beliefs.directory().storeBack(Gateway.this.clock.millis());
-			}
-			Gateway.this.storeAnswers = Optional.of(true);
-		}
-
-		@Override
-		public void failed(Throwable cause) {
-			if (Gateway.this.storeAnswers.orElse(true)) {
-				Gateway.this.log.write(LogLine.of(GatewayEvent.STORE_LOST).with("reason", String.valueOf(cause)));
-				Gateway.this.beliefs.directory().storeAway();
-			}
-			Gateway.this.storeAnswers = Optional.of(false);
-		}
-
-	}
-
 }
--- /dev/null
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreFollower.java
@@ -0,0 +1,177 @@
+package org.ebonyford.gateway.process;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.netty.util.concurrent.EventExecutor;
+
+import org.ebonyford.freshness.Freshness;
+import org.ebonyford.gateway.log.EventLog;
+import org.ebonyford.gateway.log.GatewayEvent;
+import org.ebonyford.gateway.log.LogLine;
+import org.ebonyford.gateway.store.MetadataStore;
+import org.ebonyford.gateway.store.RelayServer;
+import org.ebonyford.gateway.store.StoreBatch;
+import org.ebonyford.gateway.store.StoreFeed;
+import org.ebonyford.gateway.store.StoreRecord;
+import org.ebonyford.gateway.store.StoreTopic;
+import org.ebonyford.gateway.store.TopicCache;
+
+/**
+ * Follows the topics of the store, tells the gateway's beliefs and its peering what they
+ * say, and notes whether the store answers.
+ */
+final class StoreFollower {
+
+	/**
+	 * How long in milliseconds the store may wait for a record of the operator. It bounds
+	 * the age of the configuration, together with the time of a call.
+	 */
+	private static final long OPERATOR_WAIT_MILLIS = 600;
+
+	/**
+	 * The pause in milliseconds between two reads of the upstreams' entries: short
+	 * against the two seconds within which a draining upstream must get nothing more.
+	 */
+	private static final long UPSTREAMS_PAUSE_MILLIS = 350;
+
+	/**
+	 * How long in milliseconds the store may wait for the announcement of a gateway.
+	 */
+	private static final long GATEWAYS_WAIT_MILLIS = 5_000;
+
+	/**
+	 * The event loop.
+	 */
+	private final EventExecutor loop;
+
+	/**
+	 * The store.
+	 */
+	private final MetadataStore store;
+
+	/**
+	 * What is believed of the configuration and the upstreams.
+	 */
+	private final Beliefs beliefs;
+
+	/**
+	 * The log.
+	 */
+	private final EventLog log;
+
+	/**
+	 * The feeds by topic.
+	 */
+	private final Map<StoreTopic, StoreFeed> feeds = new EnumMap<>(StoreTopic.class);
+
+	/**
+	 * Whether the store answers, empty before the first call.
+	 */
+	private Optional<Boolean> storeAnswers = Optional.empty();
+
+	StoreFollower(EventExecutor loop, MetadataStore store, Freshness operatorAge, Supplier<Freshness> ages,
+			Beliefs beliefs, Peering peering, EventLog log) {
+		this.loop = loop;
+		this.store = store;
+		this.beliefs = beliefs;
+		this.log = log;
+		feed(new StoreFeed.Plan(StoreTopic.OPERATOR, OPERATOR_WAIT_MILLIS, 0), operatorAge,
+				new Listener(beliefs::operatorNewest, beliefs::operatorRecord));
+		feed(new StoreFeed.Plan(StoreTopic.UPSTREAMS, 0, UPSTREAMS_PAUSE_MILLIS), ages.get(),
+				new Listener(beliefs::upstreamsNewest, beliefs::upstreamRecord));
+		feed(new StoreFeed.Plan(StoreTopic.GATEWAYS, GATEWAYS_WAIT_MILLIS, 0), ages.get(),
+				new Listener((batch) -> batch.records().forEach(peering::announcement), peering::announcement));
+	}
+
+	private void feed(StoreFeed.Plan plan, Freshness age, StoreFeed.Listener listener) {
+		TopicCache cache = new TopicCache(
+				(before, after) -> plan.topic() == StoreTopic.UPSTREAMS && this.beliefs.sameUpstream(before, after));
+		this.feeds.put(plan.topic(), new StoreFeed(this.loop, this.store, plan, age, cache, listener));
+	}
+
+	/**
+	 * Reads all topics at once.
+	 */
+	void readNow() {
+		this.feeds.values().forEach(StoreFeed::readNow);
+	}
+
+	/**
+	 * Reads no more.
+	 */
+	void close() {
+		this.feeds.values().forEach(StoreFeed::close);
+	}
+
+	/**
+	 * Returns what is known of a topic, for peers.
+	 * @param topic the topic
+	 * @return the records and their age
+	 */
+	RelayServer.Source source(StoreTopic topic) {
+		return this.feeds.get(topic);
+	}
+
+	/**
+	 * Returns whether the store answers, itself or through a peer.
+	 * @return {@code false} if the last call failed
+	 */
+	boolean storeAnswers() {
+		return this.storeAnswers.orElse(true);
+	}
+
+	/**
+	 * Takes what a feed reads, and notes whether the store answers.
+	 */
+	private final class Listener implements StoreFeed.Listener {
+
+		/**
+		 * Takes the newest state.
+		 */
+		private final Consumer<StoreBatch> newest;
+
+		/**
+		 * Takes a record.
+		 */
+		private final Consumer<StoreRecord> record;
+
+		Listener(Consumer<StoreBatch> newest, Consumer<StoreRecord> record) {
+			this.newest = newest;
+			this.record = record;
+		}
+
+		@Override
+		public void newest(StoreBatch batch) {
+			this.newest.accept(batch);
+		}
+
+		@Override
+		public void record(StoreRecord read) {
+			this.record.accept(read);
+		}
+
+		@Override
+		public void answered() {
+			if (!StoreFollower.this.storeAnswers.orElse(false)) {
+				StoreFollower.this.log.write(LogLine.of(GatewayEvent.STORE_REGAINED));
+				StoreFollower.this.beliefs.storeBack();
+			}
+			StoreFollower.this.storeAnswers = Optional.of(true);
+		}
+
+		@Override
+		public void failed(Throwable cause) {
+			if (StoreFollower.this.storeAnswers.orElse(true)) {
+				StoreFollower.this.log.write(LogLine.of(GatewayEvent.STORE_LOST).with("reason", String.valueOf(cause)));
+				StoreFollower.this.beliefs.storeAway();
+			}
+			StoreFollower.this.storeAnswers = Optional.of(false);
+		}
+
+	}
+
+}
