--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -517,7 +517,7 @@
 
 	@Override
 	public boolean behind() {
-		return this.backlog.behind();
+		return this.backlog.behind(this.clock.millis());
 	}
 
 	@Override
--- a/ebonyford/src/main/java/org/ebonyford/lifecycle/Backlog.java
+++ b/ebonyford/src/main/java/org/ebonyford/lifecycle/Backlog.java
@@ -39,17 +39,23 @@
 	 * @param now the time in milliseconds
 	 */
 	public void read(long now) {
-		long delay = (this.readAt < 0) ? 0 : now - this.readAt - PERIOD_MILLIS;
-		this.behind = delay > (this.behind ? CALM_MILLIS : BEHIND_MILLIS);
+		this.behind = delay(now) > (this.behind ? CALM_MILLIS : BEHIND_MILLIS);
 		this.readAt = now;
 	}
 
 	/**
-	 * Returns whether requests are read late.
+	 * Returns whether requests are read late. A reading that is overdue counts before it
+	 * comes: in a long turn of the event loop all requests are read before any timer
+	 * runs.
+	 * @param now the time in milliseconds
 	 * @return {@code true} from a late reading until one in time
 	 */
-	public boolean behind() {
-		return this.behind;
+	public boolean behind(long now) {
+		return this.behind || delay(now) > BEHIND_MILLIS;
+	}
+
+	private long delay(long now) {
+		return (this.readAt < 0) ? 0 : now - this.readAt - PERIOD_MILLIS;
 	}
 
 }
