--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -233,6 +233,11 @@
 	 */
 	private long endingSince;
 
+	/**
+	 * Whether nothing is taken any more, as the process is about to go.
+	 */
+	private boolean closed;
+
 	/**
 	 * When silent upstreams were last checked, in milliseconds.
 	 */
@@ -428,7 +433,8 @@
 
 	/**
 	 * Finishes open requests and ends the event loop, at the latest shortly before the
-	 * kill. Until the balancer has noticed, new requests are still taken.
+	 * kill. Until the balancer has noticed, new requests are still taken; once none is
+	 * open, nothing is taken any more, and only then the process may go.
 	 * @return completes when the process may end
 	 */
 	public CompletableFuture<Void> end() {
@@ -446,7 +452,13 @@
 	private void awaitEnd(CompletableFuture<Void> ended) {
 		long waited = this.clock.millis() - this.endingSince;
 		boolean last = waited >= this.settings.graceMillis() - END_MARGIN_MILLIS;
-		if (last || (waited > BALANCER_MILLIS && this.callers.busy() == 0)) {
+		boolean idle = waited > BALANCER_MILLIS && this.callers.busy() == 0;
+		if (idle && !this.closed) {
+			this.closed = true;
+			this.listeners.forEach(Channel::close);
+			this.callers.check(true);
+		}
+		else if (last || idle) {
 			this.log.write(LogLine.of(GatewayEvent.STOPPED).with("open", this.callers.busy()));
 			this.follower.close();
 			ended.complete(null);
@@ -510,6 +522,9 @@
 
 	@Override
 	public boolean takes(boolean stream) {
+		if (this.closed) {
+			return false;
+		}
 		long last = this.settings.graceMillis() - END_MARGIN_MILLIS - SHORT_MILLIS;
 		long until = stream ? BALANCER_MILLIS : Math.max(BALANCER_MILLIS, last);
 		return this.endingSince == 0 || this.clock.millis() - this.endingSince < until;
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayTest.java
@@ -330,6 +330,22 @@
 		open.cancel(true);
 	}
 
+	/**
+	 * The process takes some milliseconds to go after it has decided to.
+	 */
+	@Test
+	public void testEndedGatewayPassesNothingOn() {
+		this.fixture.configured();
+		FakeUpstream upstream = this.fixture.upstream("u1", "pays", Script.ok("paid"));
+		assertStatus(this.fixture.call("/pay/1", "a", ""), 200);
+		this.fixture.gateway().end().join();
+		for (int index = 0; index < 5; index++) {
+			String answer = this.fixture.call("/pay/1", "b" + index, "");
+			assertFalse(answer.startsWith("HTTP/1.1 200"), answer);
+		}
+		assertEquals(upstream.requests().size(), 1);
+	}
+
 	@Test
 	public void testMetricsCountAnswersAndRefusals() {
 		this.fixture.configured();
