Honour what upstreams say of themselves, and bound answers without end

Cause, by reading and by tests: a gateway passed on an answer marked as that of a leaving upstream and went on sending there; it ignored Retry-After of a 503; an answer that is no stream could take 16 MB each on a heap of 100 MB, an event of a stream any size; bytes that complete no event counted as progress, so a stalled stream that sent a byte now and then was never continued elsewhere; and an informational response (103) ended the request: it hung until its deadline (504).

Ruled out: heads and chunk sizes without end were bounded by the decoder already (testHeadWithoutEnd, testStatusLineWithoutEnd, testChunkSizeWithoutEnd green before); slow streams were not cut (testSlowStreamIsNotCut).

Change: Notice holds what a start of an upstream said, survives its entry's return, and is told to callers when all ask to wait. AnswerMemory bounds what answers take together, EventSplitter the size of an event, UpstreamConnection the number of informational responses. Only whole events are progress.

Red before, with each mechanism taken out: four of UpstreamNoticeTest (the fifth, on 421, is a guard), six of EndlessAnswerTest.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Attempt.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Attempt.java
@@ -1,6 +1,5 @@
 package org.ebonyford.gateway.exchange;
 
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
@@ -15,6 +14,7 @@
 import org.ebonyford.placement.Choice;
 import org.ebonyford.placement.Load;
 import org.ebonyford.placement.ServicePace;
+import org.ebonyford.placement.UpstreamHealth;
 import org.ebonyford.placement.UpstreamState;
 import org.ebonyford.placement.Work;
 import org.ebonyford.time.Clock;
@@ -36,10 +36,9 @@
 	private static final int NO_SUCCESS = 300;
 
 	/**
-	 * The greatest size in bytes of an answer that is no stream: several times the
-	 * greatest body that callers may send.
+	 * The status code of an upstream that takes no requests at present.
 	 */
-	private static final int GREATEST_BODY = 16 << 20;
+	private static final int UNAVAILABLE = 503;
 
 	/**
 	 * The clock.
@@ -87,7 +86,8 @@
 	private long sentAt;
 
 	/**
-	 * When something of the answer last came, in milliseconds, 0 before its first byte.
+	 * When the answer last made progress, in milliseconds, 0 before its head. Bytes that
+	 * complete no event of a stream are no progress.
 	 */
 	private long heardAt;
 
@@ -104,7 +104,7 @@
 	/**
 	 * The body of an answer that is no stream.
 	 */
-	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+	private final AnswerBuffer body;
 
 	/**
 	 * Splits a stream into events.
@@ -121,13 +121,15 @@
 	 */
 	private boolean ended;
 
-	Attempt(Clock clock, HeaderNames names, Owner owner, Sending sending, Upstream upstream, Choice choice) {
+	Attempt(Clock clock, HeaderNames names, AnswerMemory memory, Owner owner, Sending sending, Upstream upstream,
+			Choice choice) {
 		this.clock = clock;
 		this.names = names;
 		this.owner = owner;
 		this.sending = sending;
 		this.upstream = upstream;
 		this.choice = choice;
+		this.body = new AnswerBuffer(memory);
 		this.held = new Load(1, choice.unread(), sending.work().memoryTokens());
 	}
 
@@ -204,6 +206,7 @@
 	public void head(HttpResponse response) {
 		heard();
 		this.head = response;
+		notice(response);
 		String echoed = response.headers().get(this.names.requestId(), "");
 		boolean success = response.status().code() < NO_SUCCESS;
 		if (!echoed.equals(this.sending.id()) && (success || !echoed.isEmpty())) {
@@ -222,21 +225,44 @@
 
 	@Override
 	public void content(ByteBuf content) {
-		heard();
 		if (!this.streaming) {
-			byte[] bytes = new byte[content.readableBytes()];
-			content.readBytes(bytes);
-			this.body.writeBytes(bytes);
-			if (this.body.size() > GREATEST_BODY) {
+			heard();
+			if (!this.body.add(content)) {
 				fail("the answer is too large");
 			}
 			return;
 		}
 		List<StreamEvent> events = this.splitter.add(content);
-		if (!events.isEmpty()) {
+		if (!events.stream().allMatch(StreamEvent::comment)) {
+			heard();
 			firstEvent();
+		}
+		if (!events.isEmpty()) {
 			this.owner.events(this, this.head, events);
 		}
+		if (this.splitter.overflows()) {
+			fail("an event of the stream is too large");
+		}
+	}
+
+	/**
+	 * Notes what the upstream says of itself. An answer of another upstream at the same
+	 * address says nothing of the expected one.
+	 * @param response the head of the answer
+	 */
+	private void notice(HttpResponse response) {
+		int status = response.status().code();
+		if (status == MISDIRECTED) {
+			return;
+		}
+		UpstreamHealth health = state().health();
+		if (response.headers().contains(this.names.leaving())) {
+			health.notice(health.notice().leaves());
+		}
+		if (status == UNAVAILABLE) {
+			RetryAfter.millis(response.headers())
+				.ifPresent((wait) -> health.notice(health.notice().waits(wait, this.clock.millis())));
+		}
 	}
 
 	@Override
@@ -254,7 +280,7 @@
 			this.owner.notRun(this, "status " + status);
 			return;
 		}
-		Answer answer = new Answer(status, this.head.headers(), this.body.toByteArray());
+		Answer answer = new Answer(status, this.head.headers(), this.body.bytes());
 		if (!answer.failure()) {
 			firstEvent();
 		}
@@ -323,6 +349,7 @@
 
 	private void end() {
 		this.ended = true;
+		this.body.release();
 		state().relieved(this.held);
 		this.held = Load.NONE;
 	}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/EventSplitter.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/EventSplitter.java
@@ -18,6 +18,12 @@
 	 */
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+	/**
+	 * The greatest size in bytes of an event: many times a token with its log
+	 * probabilities.
+	 */
+	private static final int GREATEST_EVENT = 65_536;
+
 	/**
 	 * The bytes of the event that is not whole yet.
 	 */
@@ -55,6 +61,14 @@
 		return this.pending.length == 0;
 	}
 
+	/**
+	 * Returns whether the event that is not whole yet is larger than any event.
+	 * @return {@code true} if the bytes are no event stream
+	 */
+	boolean overflows() {
+		return this.pending.length > GREATEST_EVENT;
+	}
+
 	private static boolean blank(byte[] bytes, int start, int end) {
 		return end == start || (end == start + 1 && bytes[start] == '\r');
 	}
@@ -83,6 +97,21 @@
 	 */
 	record StreamEvent(byte[] bytes, String id) {
 
+		/**
+		 * Returns whether the event is only a comment, which keeps a connection open and
+		 * tells nothing of the stream.
+		 * @return {@code true} if it has no field
+		 */
+		boolean comment() {
+			for (int index = 0; index < this.bytes.length; index++) {
+				boolean starts = index == 0 || this.bytes[index - 1] == '\n';
+				if (starts && this.bytes[index] != ':' && this.bytes[index] != '\r' && this.bytes[index] != '\n') {
+					return false;
+				}
+			}
+			return true;
+		}
+
 		/**
 		 * Returns whether the event comes after another one.
 		 * @param last the identifier of the other event, empty if there is none
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -327,7 +327,7 @@
 		Optional<Choice> choice = this.service.placement()
 			.choose(this.work, ServiceState.states(candidates), terms, now);
 		if (choice.isEmpty()) {
-			giveUp(candidates.isEmpty() ? "no upstream can be used" : "no upstream has room", UNAVAILABLE_RETRY_MILLIS);
+			giveUp(candidates.isEmpty() ? "no upstream can be used" : "no upstream has room", upstreamsRetryMillis());
 			return;
 		}
 		if (this.arrivals == 0 && !this.serving.takes(stream())) {
@@ -370,8 +370,8 @@
 
 	private void send(Upstream upstream, Choice choice, Terms terms) {
 		this.story.add(placed(choice, terms).with("taken", true));
-		this.attempt = new Attempt(this.serving.clock(), this.serving.adapter().headers(), this, this, upstream,
-				choice);
+		this.attempt = new Attempt(this.serving.clock(), this.serving.adapter().headers(), this.serving.answerMemory(),
+				this, this, upstream, choice);
 		if (repeatable()) {
 			watch();
 		}
@@ -442,10 +442,21 @@
 			retried();
 		}
 		else {
-			giveUp("upstreams turned the request down", UNAVAILABLE_RETRY_MILLIS);
+			giveUp("upstreams turned the request down", upstreamsRetryMillis());
 		}
 	}
 
+	/**
+	 * Returns when a request may come back that no upstream took. If upstreams said when
+	 * they want requests again, that is the earliest of these times.
+	 * @return the time in milliseconds
+	 */
+	private double upstreamsRetryMillis() {
+		long now = this.serving.clock().millis();
+		return this.serving.candidates(this.service, Set.of()).isEmpty()
+				? this.service.usableAfter(now).orElse((long) UNAVAILABLE_RETRY_MILLIS) : UNAVAILABLE_RETRY_MILLIS;
+	}
+
 	private boolean budget() {
 		return this.serving.retries().take(this.serviceName, this.serving.routers(), this.serving.clock().millis());
 	}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/ServiceState.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/ServiceState.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.ebonyford.catalog.ServiceDefinition;
 import org.ebonyford.placement.Placement;
@@ -82,6 +83,22 @@
 		return this.upstreams;
 	}
 
+	/**
+	 * Returns when the first upstream that is left out at present may be used again.
+	 * @param now the time in milliseconds
+	 * @return the time from now on in milliseconds, empty if none is known to return
+	 */
+	OptionalLong usableAfter(long now) {
+		return this.upstreams.values()
+			.stream()
+			.filter((upstream) -> !upstream.state().entry().draining())
+			.map((upstream) -> upstream.state().health().usableAt())
+			.filter(OptionalLong::isPresent)
+			.mapToLong((at) -> at.getAsLong() - now)
+			.filter((wait) -> wait > 0)
+			.min();
+	}
+
 	/**
 	 * Returns how requests are placed.
 	 * @return the placement for the kind of the service's upstreams
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
@@ -114,6 +114,12 @@
 	 */
 	OrganisationShares shares();
 
+	/**
+	 * Returns the memory for answers that are read before they are passed on.
+	 * @return the memory, which all requests share
+	 */
+	AnswerMemory answerMemory();
+
 	/**
 	 * Returns the number of routers that may be alive.
 	 * @return the number, this one included
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamConnection.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamConnection.java
@@ -37,6 +37,12 @@
 	 */
 	private static final long IDLE_MARGIN_MILLIS = 600;
 
+	/**
+	 * The greatest number of informational responses before an answer: a sound upstream
+	 * sends one or two.
+	 */
+	private static final int GREATEST_INFORMATIONAL = 16;
+
 	/**
 	 * The time-out in a {@code Keep-Alive} header, in whole seconds.
 	 */
@@ -72,6 +78,16 @@
 	 */
 	private boolean keepAlive;
 
+	/**
+	 * The number of informational responses since the request was sent.
+	 */
+	private int informational;
+
+	/**
+	 * Whether what comes belongs to an informational response.
+	 */
+	private boolean interim;
+
 	/**
 	 * Whether a whole answer waits for the end of the bytes that came with it.
 	 */
@@ -110,6 +126,7 @@
 	public void send(FullHttpRequest request, UpstreamListener awaiting) {
 		this.listener = awaiting;
 		this.written = false;
+		this.informational = 0;
 		this.reusable = false;
 		this.channel.writeAndFlush(request).addListener((done) -> {
 			this.written = done.isSuccess();
@@ -164,9 +181,18 @@
 
 	private void read(Object message) {
 		if (message instanceof HttpResponse response) {
-			if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-				return;
+			this.interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+			if (this.interim && ++this.informational > GREATEST_INFORMATIONAL) {
+				abandon("informational responses without end");
 			}
+		}
+		if (!this.interim) {
+			readAnswer(message);
+		}
+	}
+
+	private void readAnswer(Object message) {
+		if (message instanceof HttpResponse response) {
 			this.keepAlive = HttpUtil.isKeepAlive(response);
 			Matcher timeout = TIMEOUT.matcher(response.headers().get(HttpHeaderNames.KEEP_ALIVE, ""));
 			if (timeout.find()) {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Beliefs.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Beliefs.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,6 +22,7 @@
 import org.ebonyford.gateway.store.StoreRecord;
 import org.ebonyford.gateway.wire.Adapter;
 import org.ebonyford.gateway.wire.OperatorRecord;
+import org.ebonyford.placement.Notice;
 import org.ebonyford.time.Clock;
 
 /**
@@ -29,6 +31,12 @@
  */
 final class Beliefs {
 
+	/**
+	 * The greatest number of upstreams whose notices are kept after their entries are
+	 * gone: all that leave within hours.
+	 */
+	private static final int GREATEST_NOTICES = 1_000;
+
 	/**
 	 * The clock.
 	 */
@@ -74,6 +82,17 @@
 	 */
 	private Optional<Catalog> catalog = Optional.empty();
 
+	/**
+	 * What upstreams whose entries are gone said of themselves. An entry of the same
+	 * start that comes back does not take that back.
+	 */
+	private final Map<UpstreamEntry, Notice> notices = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<UpstreamEntry, Notice> eldest) {
+			return size() > GREATEST_NOTICES;
+		}
+	};
+
 	/**
 	 * Whether the newest state of the upstreams was read.
 	 */
@@ -231,7 +250,13 @@
 			return;
 		}
 		remove(entry.id());
-		upstreams.put(entry.id(), this.factory.apply(entry));
+		Upstream created = this.factory.apply(entry);
+		this.notices.forEach((gone, notice) -> {
+			if (gone.sameStart(entry)) {
+				created.state().health().notice(notice);
+			}
+		});
+		upstreams.put(entry.id(), created);
 		log(entry);
 	}
 
@@ -255,6 +280,10 @@
 			Upstream removed = service.upstreams().remove(id);
 			if (removed != null) {
 				removed.pool().close();
+				Notice notice = removed.state().health().notice();
+				if (!notice.equals(Notice.NONE)) {
+					this.notices.put(removed.state().entry(), notice);
+				}
 			}
 		});
 	}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -29,6 +29,7 @@
 import org.ebonyford.directory.UpstreamEntry;
 import org.ebonyford.freshness.Freshness;
 import org.ebonyford.gateway.caller.CallerServer;
+import org.ebonyford.gateway.exchange.AnswerMemory;
 import org.ebonyford.gateway.exchange.Exchange;
 import org.ebonyford.gateway.exchange.ServiceState;
 import org.ebonyford.gateway.exchange.Serving;
@@ -203,6 +204,11 @@
 	 */
 	private final OrganisationShares shares;
 
+	/**
+	 * The memory for answers that are read before they are passed on.
+	 */
+	private final AnswerMemory answerMemory = new AnswerMemory();
+
 	/**
 	 * Whether requests are read late.
 	 */
@@ -383,7 +389,8 @@
 	private void probe(Upstream upstream) {
 		UpstreamState state = upstream.state();
 		Optional<ServiceDefinition> definition = service(state.entry().service()).definition();
-		if (!state.health().silent() || definition.isEmpty()) {
+		boolean asked = state.health().notice().accepts(this.clock.millis());
+		if (!state.health().silent() || !asked || definition.isEmpty()) {
 			return;
 		}
 		InetSocketAddress address = new InetSocketAddress(state.entry().host(), state.entry().port());
@@ -575,6 +582,11 @@
 		return this.shares;
 	}
 
+	@Override
+	public AnswerMemory answerMemory() {
+		return this.answerMemory;
+	}
+
 	@Override
 	public int routers() {
 		return this.peering.names().size();
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/wire/HeaderNames.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/wire/HeaderNames.java
@@ -13,10 +13,11 @@
  * @param expectedUpstream the upstream that is to answer, set by the gateway
  * @param seal the seal of an upstream's answer
  * @param notExecuted marks an answer to a request that was not run
+ * @param leaving marks the answers of an upstream that is about to end
  * @param reserved further headers that only a gateway may set
  */
 public record HeaderNames(String requestId, String deadlineMillis, String organisation, String expectedUpstream,
-		String seal, String notExecuted, Set<String> reserved) {
+		String seal, String notExecuted, String leaving, Set<String> reserved) {
 
 	/**
 	 * Creates names.
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -225,7 +225,8 @@
 
 		@Override
 		public HeaderNames headers() {
-			return new HeaderNames("Id", "Deadline", "Organisation", "Expected", "Seal", "Not-Run", Set.of("Hold"));
+			return new HeaderNames("Id", "Deadline", "Organisation", "Expected", "Seal", "Not-Run", "Leaving",
+					Set.of("Hold"));
 		}
 
 		@Override
--- a/ebonyford/src/main/java/org/ebonyford/placement/UpstreamHealth.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/UpstreamHealth.java
@@ -1,5 +1,7 @@
 package org.ebonyford.placement;
 
+import java.util.OptionalLong;
+
 /**
  * What requests reveal of an upstream: whether it can be reached, whether it answers, and
  * how often it fails. It answers the load of crashes, of partitions without a reset, and
@@ -75,6 +77,11 @@
 	 */
 	private long decayedAt;
 
+	/**
+	 * What the upstream has said of whether it wants requests.
+	 */
+	private Notice notice = Notice.NONE;
+
 	/**
 	 * Notes that a request is sent while none is open.
 	 * @param now the time in milliseconds
@@ -140,13 +147,39 @@
 		return this.silent;
 	}
 
+	/**
+	 * Notes what the upstream has said of whether it wants requests.
+	 * @param said the notice
+	 */
+	public void notice(Notice said) {
+		this.notice = said;
+	}
+
+	/**
+	 * Returns what the upstream has said of whether it wants requests.
+	 * @return the notice
+	 */
+	public Notice notice() {
+		return this.notice;
+	}
+
 	/**
 	 * Returns whether requests may be sent.
 	 * @param now the time in milliseconds
 	 * @return {@code false} while the upstream is left out
 	 */
 	public boolean usable(long now) {
-		return !this.silent && now >= this.excludedUntil;
+		return !this.silent && now >= this.excludedUntil && this.notice.accepts(now);
+	}
+
+	/**
+	 * Returns when requests may be sent, as far as is known.
+	 * @return the time in milliseconds, in the past if they may be sent now; empty if
+	 * that is not known or never
+	 */
+	public OptionalLong usableAt() {
+		return (this.silent || this.notice.leaving()) ? OptionalLong.empty()
+				: OptionalLong.of(Math.max(this.excludedUntil, this.notice.waitUntil()));
 	}
 
 	/**
