Bound the connections of callers, and read a caller's close before its request

Callers waited in the accept queue, left, and were read seconds later. Ruled out: the processor (0.02 to 0.06 of a core).

Change: ConnectionBounds divides the descriptors; beyond a number of idle connections answers close theirs, beyond a number of connections the one idle for longest gives way. A socket is read until it is empty before its request is handled, so a caller that has left is not served. Log lines are formatted without String.format.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerConnection.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerConnection.java
@@ -151,10 +151,20 @@
 		return this.open != null || this.reading;
 	}
 
+	/**
+	 * Closes the connection, on which nothing has come since the last answer.
+	 */
+	void closeIdle() {
+		this.closing = true;
+		this.server.busy(this);
+		this.channel.close();
+	}
+
 	void bytes() {
 		if (this.open == null && !this.reading) {
 			this.reading = true;
 			this.since = this.clock.millis();
+			this.server.busy(this);
 		}
 	}
 
@@ -226,10 +236,19 @@
 		this.head = null;
 		this.reading = false;
 		this.encoder.headOnly(request.method().equals(HttpMethod.HEAD));
-		this.open = new OpenRequest(HttpUtil.isKeepAlive(request));
-		this.server.handler()
-			.handle(new CallerRequest(request.method(), request.uri(), request.headers(), this.body.toByteArray()),
-					this.open);
+		OpenRequest opened = new OpenRequest(HttpUtil.isKeepAlive(request));
+		CallerRequest read = new CallerRequest(request.method(), request.uri(), request.headers(),
+				this.body.toByteArray());
+		this.open = opened;
+		// The socket may also hold the caller's close, which is read in this turn of the
+		// event loop after the request.
+		this.channel.eventLoop().execute(() -> handle(read, opened));
+	}
+
+	private void handle(CallerRequest request, OpenRequest opened) {
+		if (this.channel.isOpen() && !opened.done) {
+			this.server.handler().handle(request, opened);
+		}
 	}
 
 	private static boolean proper(HttpRequest request) {
@@ -291,6 +310,9 @@
 		while (this.open == null && !this.closing && !this.backlog.isEmpty()) {
 			take(this.backlog.removeFirst());
 		}
+		if (!busy() && !this.closing) {
+			this.server.idle(this);
+		}
 		this.channel.config().setAutoRead(this.backlog.size() <= GREATEST_BACKLOG);
 	}
 
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerServer.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerServer.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.function.IntConsumer;
 import java.util.function.Supplier;
@@ -12,6 +13,7 @@
 import io.netty.channel.socket.SocketChannel;
 
 import org.ebonyford.catalog.CallerLimits;
+import org.ebonyford.lifecycle.ConnectionBounds;
 import org.ebonyford.time.Clock;
 
 /**
@@ -39,11 +41,21 @@
 	 */
 	private final IntConsumer refusals;
 
+	/**
+	 * How many connections there may be.
+	 */
+	private final ConnectionBounds bounds;
+
 	/**
 	 * The open connections.
 	 */
 	private final Set<CallerConnection> connections = new HashSet<>();
 
+	/**
+	 * The connections without a request, the one that has been idle for longest first.
+	 */
+	private final Set<CallerConnection> idle = new LinkedHashSet<>();
+
 	/**
 	 * Whether connections are kept after an answer. Callers whose connection is not kept
 	 * come back to a gateway that is ready.
@@ -56,9 +68,12 @@
 	 * @param limits the limits for new connections
 	 * @param handler takes the requests
 	 * @param refusals is told the status of each request that is refused as improper
+	 * @param bounds how many connections there may be
 	 */
-	public CallerServer(Clock clock, Supplier<CallerLimits> limits, RequestHandler handler, IntConsumer refusals) {
+	public CallerServer(Clock clock, Supplier<CallerLimits> limits, RequestHandler handler, IntConsumer refusals,
+			ConnectionBounds bounds) {
 		this.clock = clock;
+		this.bounds = bounds;
 		this.limits = limits;
 		this.handler = handler;
 		this.refusals = refusals;
@@ -70,6 +85,10 @@
 		AnswerEncoder encoder = new AnswerEncoder();
 		CallerConnection connection = new CallerConnection(this, this.clock, now, encoder);
 		this.connections.add(connection);
+		if (this.connections.size() > this.bounds.open() && !this.idle.isEmpty()) {
+			this.idle.iterator().next().closeIdle();
+		}
+		this.idle.add(connection);
 		channel.pipeline()
 			.addLast(new Arrivals(connection))
 			.addLast(new StrictRequestDecoder(now))
@@ -109,8 +128,20 @@
 		return this.connections.size();
 	}
 
+	/**
+	 * Returns whether a connection is kept after the answer that is about to be sent.
+	 * @return {@code false} if the caller should make a new one
+	 */
 	boolean keeping() {
-		return this.keeping;
+		return this.keeping && this.idle.size() < this.bounds.idle();
+	}
+
+	void idle(CallerConnection connection) {
+		this.idle.add(connection);
+	}
+
+	void busy(CallerConnection connection) {
+		this.idle.remove(connection);
 	}
 
 	RequestHandler handler() {
@@ -123,6 +154,7 @@
 
 	void closed(CallerConnection connection) {
 		this.connections.remove(connection);
+		this.idle.remove(connection);
 	}
 
 	/**
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/LogLine.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/LogLine.java
@@ -12,6 +12,11 @@
 	 */
 	private static final int GREATEST_TEXT = 200;
 
+	/**
+	 * The number from which two decimals are written by the slower general way.
+	 */
+	private static final double GREATEST_PLAIN = 1e15;
+
 	/**
 	 * The event.
 	 */
@@ -43,21 +48,25 @@
 	 */
 	public LogLine with(String name, String text) {
 		key(name).append('"');
-		text.chars().limit(GREATEST_TEXT).forEach((character) -> {
-			if (character == '"' || character == '\\') {
-				this.fields.append('\\').append((char) character);
-			}
-			else if (character < ' ' || character > '~') {
-				this.fields.append(String.format("\\u%04x", character));
-			}
-			else {
-				this.fields.append((char) character);
-			}
-		});
+		int length = Math.min(text.length(), GREATEST_TEXT);
+		for (int index = 0; index < length; index++) {
+			append(text.charAt(index));
+		}
 		this.fields.append('"');
 		return this;
 	}
 
+	private void append(char character) {
+		if (character < ' ' || character > '~') {
+			this.fields.append(String.format("\\u%04x", (int) character));
+			return;
+		}
+		if (character == '"' || character == '\\') {
+			this.fields.append('\\');
+		}
+		this.fields.append(character);
+	}
+
 	/**
 	 * Adds a whole number.
 	 * @param name the name of the field
@@ -76,10 +85,27 @@
 	 * @return this line
 	 */
 	public LogLine with(String name, double number) {
-		key(name).append(Double.isFinite(number) ? String.format(Locale.ROOT, "%.2f", number) : "null");
+		key(name);
+		if (!Double.isFinite(number)) {
+			this.fields.append("null");
+		}
+		else if (Math.abs(number) >= GREATEST_PLAIN) {
+			this.fields.append(String.format(Locale.ROOT, "%.2f", number));
+		}
+		else {
+			hundredths(Math.round(number * 100));
+		}
 		return this;
 	}
 
+	private void hundredths(long number) {
+		long rest = Math.abs(number % 100);
+		this.fields.append((number < 0 && number > -100) ? "-" : "")
+			.append(number / 100)
+			.append((rest < 10) ? ".0" : ".")
+			.append(rest);
+	}
+
 	/**
 	 * Adds a truth value.
 	 * @param name the name of the field
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -46,6 +47,7 @@
 import org.ebonyford.gateway.store.RelayedStore;
 import org.ebonyford.gateway.wire.Adapter;
 import org.ebonyford.lifecycle.Backlog;
+import org.ebonyford.lifecycle.ConnectionBounds;
 import org.ebonyford.lifecycle.Readiness;
 import org.ebonyford.placement.UpstreamState;
 import org.ebonyford.retry.ColdAllowance;
@@ -119,6 +121,12 @@
 	 */
 	private static final int ACCEPTED_AT_ONCE = 256;
 
+	/**
+	 * The reads of a connection in a turn of the event loop: a request of usual size and
+	 * what follows it, with the caller's close.
+	 */
+	private static final int READS_AT_ONCE = 16;
+
 	/**
 	 * The status code of a health check that is good.
 	 */
@@ -275,7 +283,8 @@
 				() -> catalog().map(Catalog::tokensPerSecond).orElse(0.0));
 		this.peering = new Peering(clock, settings.dataCentre(), log, this.beliefs, this.shares);
 		this.callers = new CallerServer(clock, () -> catalog().map(Catalog::limits).orElse(CallerLimits.DEFAULT),
-				(request, responder) -> new Exchange(this, request, responder).start(), this::improper);
+				(request, responder) -> new Exchange(this, request, responder).start(), this::improper,
+				ConnectionBounds.of(settings.descriptors()));
 	}
 
 	/**
@@ -309,6 +318,8 @@
 					new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE))
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.RCVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_AT_ONCE))
 			.childHandler(handler)
 			.bind(address)
 			.syncUninterruptibly()
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/settings/GatewaySettings.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/settings/GatewaySettings.java
@@ -24,6 +24,7 @@
  * @param peers the address at which peers send their reports
  * @param relay the address at which peers read what was read from the store
  * @param store the address of the store
+ * @param descriptors the number of descriptors that the process may open
  * @param revocationMillis the time in milliseconds within which a key that was taken away
  * stops working everywhere
  * @param graceMillis the time in milliseconds between the request to end and the kill
@@ -36,8 +37,8 @@
  */
 public record GatewaySettings(String name, String dataCentre, InetSocketAddress callers, InetSocketAddress readiness,
 		InetSocketAddress metrics, InetSocketAddress peers, InetSocketAddress relay, InetSocketAddress store,
-		long revocationMillis, long graceMillis, double retryRatio, double retryExtra, long retryWindowMillis,
-		double coldFactor, double coldSlack, long shareWindowMillis) {
+		int descriptors, long revocationMillis, long graceMillis, double retryRatio, double retryExtra,
+		long retryWindowMillis, double coldFactor, double coldSlack, long shareWindowMillis) {
 
 	/**
 	 * The number of milliseconds in a second.
@@ -78,8 +79,8 @@
 		return new GatewaySettings(values.text(Setting.NAME), values.text(Setting.DATA_CENTRE),
 				values.address(Setting.CALLERS), values.address(Setting.READINESS), values.address(Setting.METRICS),
 				values.address(Setting.PEERS), values.address(Setting.RELAY), values.address(Setting.STORE),
-				Math.round(values.number(Setting.REVOCATION)), values.millis(Setting.GRACE),
-				values.number(Setting.RETRY_RATIO), values.number(Setting.RETRY_EXTRA),
+				(int) values.number(Setting.DESCRIPTORS), Math.round(values.number(Setting.REVOCATION)),
+				values.millis(Setting.GRACE), values.number(Setting.RETRY_RATIO), values.number(Setting.RETRY_EXTRA),
 				values.millis(Setting.RETRY_WINDOW), values.number(Setting.COLD_FACTOR),
 				values.number(Setting.COLD_SLACK), values.millis(Setting.SHARE_WINDOW));
 	}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/settings/Setting.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/settings/Setting.java
@@ -42,6 +42,11 @@
 	/** The address of the store. */
 	STORE("store", "address", ValueFormat.ForAddress.INSTANCE, "", "The address of the platform's store."),
 
+	/** The descriptors. */
+	DESCRIPTORS("limits", "descriptors", ValueFormat.ForDecimal.INSTANCE, "1024",
+			"The descriptors that the process may open. Callers get a part of them; beyond a number of idle connections of"
+					+ " callers each answer closes its connection."),
+
 	/** The bound on revocation. */
 	REVOCATION("bounds", "revocation-ms", ValueFormat.ForDecimal.INSTANCE, "5000",
 			"The time in milliseconds within which a key that was taken away stops working everywhere. While the configuration is"
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -46,6 +46,11 @@
  */
 final class GatewayFixture implements Closeable {
 
+	/**
+	 * The descriptors of the gateway, few enough for a test to fill its callers' part.
+	 */
+	static final int DESCRIPTORS = 400;
+
 	static final String KEY = "key-of-acme";
 
 	private static final long PATIENCE_MILLIS = 5_000;
@@ -72,8 +77,8 @@
 
 	GatewayFixture(long graceMillis) {
 		InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-		GatewaySettings settings = new GatewaySettings("gateway", "dc1", any, any, any, any, any, any, 2_000,
-				graceMillis, 0.2, 50, 10_000, 1.5, 5, 4_000);
+		GatewaySettings settings = new GatewaySettings("gateway", "dc1", any, any, any, any, any, any, DESCRIPTORS,
+				2_000, graceMillis, 0.2, 50, 10_000, 1.5, 5, 4_000);
 		Clock wall = () -> System.currentTimeMillis() + this.suspended.get();
 		this.gateway = new Gateway(settings, new TestAdapter(), Clock.ForSystem.INSTANCE, wall,
 				new EventLog("gateway", wall, new PrintStream(this.logged, true, StandardCharsets.US_ASCII)));
