Fetch shared parts of prompts from their home instead of reading them again

Change: leaving a home costs what it did; an engine that lacks shared parts is told to fetch them from the home.

The engine model: testSharedPartsOfABusyHomeAreTransferred (125 requests a second on six engines).

--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -42,6 +42,11 @@
 	 */
 	private static final double MILLIS_PER_OUTPUT_TOKEN = 9;
 
+	/**
+	 * The time in milliseconds until a transfer of memory begins.
+	 */
+	private static final double TRANSFER_SETUP_MILLIS = 5;
+
 	/**
 	 * The requests that an engine runs at once.
 	 */
@@ -184,7 +189,7 @@
 		Engine engine = engine(state);
 		Load load = new Load(1, choice.unread(), request.work().memoryTokens());
 		state.sent(load, now);
-		long first = engine.run(request.work(), now);
+		long first = engine.run(request.work(), choice.source().map(this::engine), now);
 		long last = first + Math.round(request.work().outputTokens() * MILLIS_PER_OUTPUT_TOKEN);
 		engine.ends.add(last);
 		this.events.add(new Event(first, () -> {
@@ -298,7 +303,8 @@
 			this.name = name;
 		}
 
-		long run(Work work, long now) {
+		long run(Work work, Optional<Engine> source, long now) {
+			double fetched = source.map((other) -> fetch(work, other)).orElse(0.0);
 			while (!this.ends.isEmpty() && this.ends.peek() <= now) {
 				this.ends.poll();
 			}
@@ -306,7 +312,7 @@
 			if (this.ends.size() >= SLOTS) {
 				start = Math.max(start, this.ends.poll());
 			}
-			this.readUntil = Math.max(this.readUntil, start) + read(work) / TOKENS_PER_MILLI;
+			this.readUntil = Math.max(this.readUntil, start + fetched) + read(work) / TOKENS_PER_MILLI;
 			return (long) this.readUntil + FIRST_MILLIS;
 		}
 
@@ -315,6 +321,27 @@
 			return Math.max(this.readUntil - now, full) + unread(work) / TOKENS_PER_MILLI + FIRST_MILLIS;
 		}
 
+		/**
+		 * Fetches the shared parts that another engine keeps.
+		 * @param work the work
+		 * @param source the other engine
+		 * @return the time in milliseconds that it takes
+		 */
+		private double fetch(Work work, Engine source) {
+			int tokens = 0;
+			for (int index = 0; index < work.sharedParts(); index++) {
+				Integer size = source.kept.get(work.chain()[index]);
+				if (size == null) {
+					break;
+				}
+				if (this.kept.put(work.chain()[index], size) == null) {
+					this.keptTokens += size;
+					tokens += size;
+				}
+			}
+			return (tokens == 0) ? 0 : TRANSFER_SETUP_MILLIS + tokens * Policy.TRANSFER_MILLIS;
+		}
+
 		private int unread(Work work) {
 			int unread = work.promptTokens();
 			for (int index = 0; index < work.chain().length && this.kept.get(work.chain()[index]) != null; index++) {
--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Policies.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Policies.java
@@ -113,6 +113,7 @@
 	private static Map<String, Policy> policies() {
 		Map<String, Policy> policies = new LinkedHashMap<>();
 		policies.put("product", Policy.ForProduct.INSTANCE);
+		policies.put("no transfer", Policy.ForProductWithoutTransfer.INSTANCE);
 		policies.put("soonest", Policy.ForSoonest.INSTANCE);
 		policies.put("fewest requests", Policy.ForFewestRequests.INSTANCE);
 		policies.put("oracle", Policy.ForOracle.INSTANCE);
--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Policy.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Policy.java
@@ -19,6 +19,12 @@
  */
 public interface Policy {
 
+	/**
+	 * The time in milliseconds for which engines transfer the memory of a token: some 18
+	 * KB over a link of 130 Gbit/s.
+	 */
+	double TRANSFER_MILLIS = 0.0011;
+
 	/**
 	 * Chooses an engine.
 	 * @param scene what is known
@@ -48,6 +54,29 @@
 			ToDoubleFunction<UpstreamState> truth) {
 	}
 
+	/**
+	 * The product's decisions where engines do not transfer memory.
+	 */
+	enum ForProductWithoutTransfer implements Policy {
+
+		/**
+		 * The singleton instance.
+		 */
+		INSTANCE;
+
+		@Override
+		public Optional<Choice> choose(Scene scene) {
+			return new Placement.ForEngines("dc", scene.pace(), () -> false).choose(scene.work(), scene.candidates(),
+					scene.terms(), scene.now());
+		}
+
+		@Override
+		public boolean takes(Choice choice, Terms terms) {
+			return Admission.takes(choice, terms);
+		}
+
+	}
+
 	/**
 	 * The product's decisions.
 	 */
@@ -60,8 +89,8 @@
 
 		@Override
 		public Optional<Choice> choose(Scene scene) {
-			return new Placement.ForEngines("dc", scene.pace()).choose(scene.work(), scene.candidates(), scene.terms(),
-					scene.now());
+			return new Placement.ForEngines("dc", scene.pace(), () -> true).choose(scene.work(), scene.candidates(),
+					scene.terms(), scene.now());
 		}
 
 		@Override
@@ -85,8 +114,8 @@
 		@Override
 		public Optional<Choice> choose(Scene scene) {
 			Work alone = Work.of(List.of(), scene.work().promptTokens(), scene.work().outputTokens());
-			return new Placement.ForEngines("dc", scene.pace()).choose(alone, scene.candidates(), scene.terms(),
-					scene.now());
+			return new Placement.ForEngines("dc", scene.pace(), () -> false).choose(alone, scene.candidates(),
+					scene.terms(), scene.now());
 		}
 
 		@Override
--- a/ebonyford-benchmark/src/test/java/org/ebonyford/benchmark/engine/HeavyLoadTest.java
+++ b/ebonyford-benchmark/src/test/java/org/ebonyford/benchmark/engine/HeavyLoadTest.java
@@ -36,6 +36,20 @@
 		assertTrue(product < naive / 2, product + " tokens read again, " + naive + " without homes");
 	}
 
+	/**
+	 * The load of more requests than the homes of their prompts serve in time.
+	 */
+	@Test(dataProvider = "seeds")
+	public void testSharedPartsOfABusyHomeAreTransferred(long seed) {
+		List<Request> load = Request.draw(seed, 20_000, 125, EVEN, 100);
+		EngineFleet product = fleet(Policy.ForProduct.INSTANCE, 0).play(load);
+		EngineFleet before = fleet(Policy.ForProductWithoutTransfer.INSTANCE, 0).play(load);
+		assertTrue(product.rereadTokens() < before.rereadTokens() / 2,
+				product.rereadTokens() + " tokens read again, " + before.rereadTokens() + " without transfers");
+		assertTrue(product.onTime() > before.onTime(),
+				"on time " + product.onTime() + ", " + before.onTime() + " without transfers");
+	}
+
 	@Test(dataProvider = "seeds")
 	public void testMoreIsOnTimeThanWithoutRefusals(long seed) {
 		List<Request> load = Request.draw(seed, 20_000, 130, EVEN, 100);
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -33,6 +33,7 @@
 import org.ebonyford.placement.Patience;
 import org.ebonyford.placement.ServicePace;
 import org.ebonyford.placement.Terms;
+import org.ebonyford.placement.UpstreamState;
 import org.ebonyford.placement.Work;
 
 /**
@@ -365,6 +366,7 @@
 			.with("used_share", terms.usedShare())
 			.with("unread_tokens", choice.unread())
 			.with("home", choice.home())
+			.with("source", choice.source().map((source) -> source.entry().id()).orElse(""))
 			.with("running", choice.running());
 	}
 
@@ -715,6 +717,10 @@
 		if (!this.organisation.isEmpty()) {
 			headers.set(names.organisation(), this.organisation);
 		}
+		this.attempt.choice()
+			.source()
+			.map(UpstreamState::entry)
+			.ifPresent((source) -> headers.set(names.memorySource(), source.host() + ":" + source.port()));
 		if (!this.lastEvent.isEmpty()) {
 			headers.set("Last-Event-Id", this.lastEvent);
 		}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/ServiceState.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/ServiceState.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.ebonyford.catalog.EngineProfile;
 import org.ebonyford.catalog.ServiceDefinition;
 import org.ebonyford.placement.Placement;
 import org.ebonyford.placement.ServicePace;
@@ -47,7 +48,8 @@
 	 * @param dataCentre the data centre of this gateway
 	 */
 	public ServiceState(String dataCentre) {
-		this.engines = new Placement.ForEngines(dataCentre, this.pace);
+		this.engines = new Placement.ForEngines(dataCentre, this.pace,
+				() -> this.definition.flatMap(ServiceDefinition::engine).map(EngineProfile::transfers).orElse(false));
 		this.services = new Placement.ForServices(dataCentre, this.pace);
 	}
 
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/wire/HeaderNames.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/wire/HeaderNames.java
@@ -14,10 +14,12 @@
  * @param seal the seal of an upstream's answer
  * @param notExecuted marks an answer to a request that was not run
  * @param leaving marks the answers of an upstream that is about to end
+ * @param memorySource the address of the engine from which an engine fetches the memory
+ * of shared parts of a prompt, set by the gateway
  * @param reserved further headers that only a gateway may set
  */
 public record HeaderNames(String requestId, String deadlineMillis, String organisation, String expectedUpstream,
-		String seal, String notExecuted, String leaving, Set<String> reserved) {
+		String seal, String notExecuted, String leaving, String memorySource, Set<String> reserved) {
 
 	/**
 	 * Creates names.
@@ -33,7 +35,8 @@
 	 */
 	public boolean reserved(String name) {
 		return name.equalsIgnoreCase(this.organisation) || name.equalsIgnoreCase(this.expectedUpstream)
-				|| name.equalsIgnoreCase(this.deadlineMillis) || this.reserved.contains(name.toLowerCase(Locale.ROOT));
+				|| name.equalsIgnoreCase(this.deadlineMillis) || name.equalsIgnoreCase(this.memorySource)
+				|| this.reserved.contains(name.toLowerCase(Locale.ROOT));
 	}
 
 }
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -231,7 +231,7 @@
 		@Override
 		public HeaderNames headers() {
 			return new HeaderNames("Id", "Deadline", "Organisation", "Expected", "Seal", "Not-Run", "Leaving",
-					Set.of("Hold"));
+					"Memory-Source", Set.of("Hold"));
 		}
 
 		@Override
--- a/ebonyford/src/main/java/org/ebonyford/catalog/EngineProfile.java
+++ b/ebonyford/src/main/java/org/ebonyford/catalog/EngineProfile.java
@@ -5,6 +5,7 @@
  *
  * @param slots the number of requests that an engine processes at once
  * @param memoryTokens the number of tokens for which an engine has memory
+ * @param transfers whether engines transfer the memory of tokens between them
  */
-public record EngineProfile(int slots, long memoryTokens) {
+public record EngineProfile(int slots, long memoryTokens, boolean transfers) {
 }
--- a/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 import org.ebonyford.directory.Rendezvous;
 
@@ -24,7 +25,9 @@
 	 * Places requests on model engines. It answers the load of long prompts that share
 	 * parts: an engine that keeps the shared parts is worth a longer wait, up to a few
 	 * times the reading that it saves, but only as long as the request is on time there
-	 * or nowhere. Routers agree on the home of a prompt without messages.
+	 * or nowhere. Routers agree on the home of a prompt without messages. Where engines
+	 * transfer memory between them, another engine fetches the shared parts from the home
+	 * instead of reading them again, so that a busy home costs little.
 	 */
 	final class ForEngines implements Placement {
 
@@ -34,6 +37,11 @@
 		 */
 		private static final double READ_AGAIN_WEIGHT = 12;
 
+		/**
+		 * The missing tokens from which a transfer is worth its beginning.
+		 */
+		private static final int LEAST_TRANSFER = 128;
+
 		/**
 		 * The shared tokens from which a request of an organisation beyond its share is
 		 * bound to its homes while other engines have work.
@@ -85,6 +93,11 @@
 		 */
 		private final ServicePace pace;
 
+		/**
+		 * Whether engines transfer memory between them.
+		 */
+		private final BooleanSupplier transfers;
+
 		/**
 		 * The number of requests that were placed, by which the engines take turns.
 		 */
@@ -94,10 +107,12 @@
 		 * Creates a placement.
 		 * @param dataCentre the data centre of this router
 		 * @param pace how fast the engines work
+		 * @param transfers whether engines transfer memory between them
 		 */
-		public ForEngines(String dataCentre, ServicePace pace) {
+		public ForEngines(String dataCentre, ServicePace pace, BooleanSupplier transfers) {
 			this.dataCentre = dataCentre;
 			this.pace = pace;
+			this.transfers = transfers;
 		}
 
 		@Override
@@ -136,13 +151,16 @@
 		private Choice predict(Work work, UpstreamState candidate, Load load, Homes homes, long now) {
 			boolean home = homes.first() == candidate.hash();
 			int kept = Math.max(candidate.parts().kept(work), home ? work.sharedTokens() : 0);
+			int missing = Math.max(work.sharedTokens() - kept, 0);
+			boolean fetched = missing >= LEAST_TRANSFER && this.transfers.getAsBoolean();
 			int unread = Math.max(work.promptTokens() - kept, 0);
 			double slowness = candidate.slowness(now);
 			int slots = Math.max(candidate.entry().slots(), 1);
 			double queued = Math.max(load.running() + 1 - slots, 0) * this.pace.wholeMillis() / slots;
 			double ahead = (this.pace.readMillis(load.reading()) + queued) * slowness;
 			return new Choice(candidate, ahead + this.pace.firstMillis(unread) * slowness, ahead,
-					this.pace.readMillis(unread) * slowness, unread, load.reading(), load.running(), home);
+					this.pace.readMillis(unread) * slowness, unread, load.reading(), load.running(), home,
+					fetched ? Optional.of(homes.firstState()) : Optional.empty());
 		}
 
 		private double cost(Work work, Choice choice, Homes homes, long now) {
@@ -161,8 +179,9 @@
 	 *
 	 * @param first the hash of the first engine, 0 if there is none
 	 * @param second the hash of the second engine, 0 if there is none
+	 * @param firstState the first engine, {@code null} if there is none
 	 */
-	record Homes(long first, long second) {
+	record Homes(long first, long second, UpstreamState firstState) {
 
 		/**
 		 * The part of the shared tokens that the second engine is taken to lack.
@@ -173,6 +192,7 @@
 			long key = work.homeKey();
 			long[] hashes = new long[2];
 			long[] weights = { Long.MIN_VALUE, Long.MIN_VALUE };
+			UpstreamState best = null;
 			for (UpstreamState candidate : candidates) {
 				long weight = Rendezvous.weight(key, candidate.hash());
 				int place = (weight > weights[0]) ? 0 : (weight > weights[1]) ? 1 : 2;
@@ -180,12 +200,13 @@
 					hashes[1] = hashes[0];
 					weights[1] = weights[0];
 				}
+				best = (place == 0) ? candidate : best;
 				if (place < 2) {
 					hashes[place] = candidate.hash();
 					weights[place] = weight;
 				}
 			}
-			return new Homes(hashes[0], hashes[1]);
+			return new Homes(hashes[0], hashes[1], best);
 		}
 
 		boolean contains(UpstreamState candidate) {
--- a/ebonyford/src/test/java/org/ebonyford/placement/PlacementTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/placement/PlacementTest.java
@@ -24,7 +24,9 @@
 
 	private final ServicePace pace = new ServicePace();
 
-	private final Placement engines = new Placement.ForEngines("dc", this.pace);
+	private final Placement engines = new Placement.ForEngines("dc", this.pace, () -> false);
+
+	private final Placement transferring = new Placement.ForEngines("dc", this.pace, () -> true);
 
 	private final Placement services = new Placement.ForServices("dc", this.pace);
 
@@ -56,6 +58,24 @@
 		assertTrue(third == home || third == second, "no third engine reads the shared parts");
 	}
 
+	/**
+	 * The load of a prompt whose home is busy, among engines that transfer memory.
+	 */
+	@Test
+	public void testEngineThatLacksSharedPartsFetchesThemFromTheHome() {
+		List<UpstreamState> states = states(6);
+		UpstreamState home = choose(states, TERMS).upstream();
+		assertTrue(this.transferring.choose(CHAT, states, TERMS, 0).orElseThrow().source().isEmpty(),
+				"the home fetches nothing");
+		home.sent(new Load(1, 100_000, 0), 0);
+		Choice choice = this.transferring.choose(CHAT, states, TERMS, 0).orElseThrow();
+		assertNotEquals(choice.upstream(), home);
+		assertEquals(choice.source().orElseThrow(), home);
+		choice.upstream().parts().read(CHAT);
+		assertTrue(this.transferring.choose(CHAT, states, TERMS, 0).orElseThrow().source().isEmpty(),
+				"what it keeps is not fetched again");
+	}
+
 	@Test
 	public void testEngineWithoutMemoryIsLeftOut() {
 		List<UpstreamState> states = states(2);
