Leave out a late second answer instead of failing the request behind it

Cause: when a second copy of an answer came on a connection in use again, the next request was failed (502, or a repeat if it may be repeated), though its own answer followed.

Change: on a reused connection a response that names another request is left out, within bounds of number and bytes, and the connection is not kept after the answer. On a new connection it still fails the attempt.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/AnswerMemory.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/AnswerMemory.java
@@ -18,6 +18,12 @@
 	 */
 	private static final int GREATEST_ANSWER = 4 << 20;
 
+	/**
+	 * The bytes that an answer gets in any case, so that endless answers leave short ones
+	 * room: most answers are shorter.
+	 */
+	private static final int GRANTED = 65_536;
+
 	/**
 	 * The bytes in use.
 	 */
@@ -30,7 +36,8 @@
 	 * @return {@code false} if the answer is too large or too little is left
 	 */
 	boolean take(int held, int bytes) {
-		if (held + bytes > GREATEST_ANSWER || this.used + bytes > GREATEST_BYTES) {
+		boolean granted = held + bytes <= GRANTED;
+		if (held + bytes > GREATEST_ANSWER || (!granted && this.used + bytes > GREATEST_BYTES)) {
 			return false;
 		}
 		this.used += bytes;
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Attempt.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Attempt.java
@@ -202,14 +202,20 @@
 		}
 	}
 
+	@Override
+	public boolean foreign(HttpResponse response) {
+		String echoed = response.headers().get(this.names.requestId(), "");
+		return !echoed.isEmpty() && !echoed.equals(this.sending.id());
+	}
+
 	@Override
 	public void head(HttpResponse response) {
 		heard();
 		this.head = response;
 		notice(response);
-		String echoed = response.headers().get(this.names.requestId(), "");
+		boolean named = response.headers().contains(this.names.requestId());
 		boolean success = response.status().code() < NO_SUCCESS;
-		if (!echoed.equals(this.sending.id()) && (success || !echoed.isEmpty())) {
+		if (foreign(response) || (success && !named)) {
 			fail("the answer belongs to another request");
 		}
 		else if (success && !response.headers().contains(this.names.seal())) {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamConnection.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamConnection.java
@@ -21,7 +21,9 @@
 
 /**
  * A connection to an upstream, which carries one request at a time. Bytes that no request
- * awaits close it, as they belong to an answer that came twice or too late.
+ * awaits close it, as they belong to an answer that came twice or too late. If such an
+ * answer comes only when the connection is in use again, it is left out, and the
+ * connection is not kept after the answer that follows it.
  */
 public final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
@@ -38,10 +40,15 @@
 	private static final long IDLE_MARGIN_MILLIS = 600;
 
 	/**
-	 * The greatest number of informational responses before an answer: a sound upstream
-	 * sends one or two.
+	 * The greatest number of responses before an answer that are left out: a sound
+	 * upstream sends one or two informational ones.
 	 */
-	private static final int GREATEST_INFORMATIONAL = 16;
+	private static final int GREATEST_LEFT_OUT = 16;
+
+	/**
+	 * The greatest number of bytes of their bodies.
+	 */
+	private static final int GREATEST_BYTES_LEFT_OUT = 1 << 20;
 
 	/**
 	 * The time-out in a {@code Keep-Alive} header, in whole seconds.
@@ -79,14 +86,29 @@
 	private boolean keepAlive;
 
 	/**
-	 * The number of informational responses since the request was sent.
+	 * The number of requests that were sent.
+	 */
+	private int requests;
+
+	/**
+	 * Whether an answer of an earlier request came after the request was sent.
+	 */
+	private boolean spoiled;
+
+	/**
+	 * The number of responses before the answer that were left out.
 	 */
-	private int informational;
+	private int leftOut;
 
 	/**
-	 * Whether what comes belongs to an informational response.
+	 * The bytes of their bodies.
 	 */
-	private boolean interim;
+	private int bytesLeftOut;
+
+	/**
+	 * Whether what comes belongs to a response that is left out.
+	 */
+	private boolean leavingOut;
 
 	/**
 	 * Whether a whole answer waits for the end of the bytes that came with it.
@@ -126,7 +148,9 @@
 	public void send(FullHttpRequest request, UpstreamListener awaiting) {
 		this.listener = awaiting;
 		this.written = false;
-		this.informational = 0;
+		this.leftOut = 0;
+		this.bytesLeftOut = 0;
+		this.requests++;
 		this.reusable = false;
 		this.channel.writeAndFlush(request).addListener((done) -> {
 			this.written = done.isSuccess();
@@ -181,13 +205,18 @@
 
 	private void read(Object message) {
 		if (message instanceof HttpResponse response) {
-			this.interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-			if (this.interim && ++this.informational > GREATEST_INFORMATIONAL) {
-				abandon("informational responses without end");
-			}
+			boolean late = this.requests > 1 && this.listener.foreign(response);
+			this.spoiled = this.spoiled || late;
+			this.leavingOut = late || response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+			this.leftOut += this.leavingOut ? 1 : 0;
 		}
-		if (!this.interim) {
+		if (!this.leavingOut) {
 			readAnswer(message);
+			return;
+		}
+		this.bytesLeftOut += (message instanceof HttpContent content) ? content.content().readableBytes() : 0;
+		if (this.leftOut > GREATEST_LEFT_OUT || this.bytesLeftOut > GREATEST_BYTES_LEFT_OUT) {
+			abandon("responses without end that are no answer to the request");
 		}
 	}
 
@@ -238,7 +267,7 @@
 		this.ended = false;
 		UpstreamListener awaiting = this.listener;
 		this.listener = null;
-		this.reusable = this.keepAlive && this.written;
+		this.reusable = this.keepAlive && this.written && !this.spoiled;
 		if (this.reusable) {
 			this.channel.config().setAutoRead(true);
 			this.idleSince = this.clock.millis();
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamListener.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamListener.java
@@ -8,6 +8,13 @@
  */
 public interface UpstreamListener {
 
+	/**
+	 * Returns whether a response answers another request than the one that is open.
+	 * @param response the head of the response
+	 * @return {@code true} if it names another request
+	 */
+	boolean foreign(HttpResponse response);
+
 	/**
 	 * Takes the head of the answer.
 	 * @param response the head
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/EndlessAnswerTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/EndlessAnswerTest.java
@@ -100,7 +100,9 @@
 			callers[index] = new Thread(() -> this.fixture.call("/pay/1", id, ""));
 			callers[index].start();
 		}
-		assertTrue(this.fixture.call("/read/1", "b", "").startsWith("HTTP/1.1 200"));
+		for (int index = 0; index < 20; index++) {
+			assertTrue(this.fixture.call("/read/1", "b" + index, "").startsWith("HTTP/1.1 200"));
+		}
 		for (Thread caller : callers) {
 			caller.join();
 		}
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayTest.java
@@ -196,6 +196,31 @@
 		}
 	}
 
+	/**
+	 * The second copy of the first answer comes when the connection is in use again.
+	 */
+	@Test
+	public void testLateSecondAnswerDoesNotReachTheNextCaller() {
+		this.fixture.configured();
+		String[] first = new String[1];
+		FakeUpstream upstream = this.fixture.upstream("u1", "pays", (request, out, connection) -> {
+			String id = FakeUpstream.header(request, "id");
+			if (id.equals("a")) {
+				first[0] = request;
+			}
+			if (id.equals("b")) {
+				Script.ok("first").answer(first[0], out, connection);
+				pause(50);
+			}
+			Script.ok(id).answer(request, out, connection);
+		});
+		for (String id : new String[] { "a", "b", "c" }) {
+			String answer = this.fixture.call("/pay/1", id, "");
+			assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("\r\n\r\n" + id), answer);
+		}
+		assertEquals(upstream.requests().size(), 3, "none runs twice");
+	}
+
 	@Test
 	public void testAnswerIsGivenUpAtTheTimeoutOfTheRoute() {
 		this.fixture.configured();
