Count reports of peers until they are overdue

A late or lost datagram made loads and usages of peers vanish, and a gateway read the store itself until the next report.

Change: ReportInterval says how often routers report and for how long that counts, two and a half pauses, at least as long as before; loads, usages and the choice of the relay use it.

testUsageOfAPeerCountsUntilItsReportsAreOverdue fails with a fixed 2,000 ms (by its check at 3,700 ms; not run on the old code, whose constructor differs).

--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -277,7 +277,8 @@
 		/**
 		 * The shares of organisations.
 		 */
-		private final OrganisationShares shares = new OrganisationShares(4_000, () -> EngineFleet.this.statedPerSecond);
+		private final OrganisationShares shares = new OrganisationShares(4_000, () -> EngineFleet.this.statedPerSecond,
+				EngineFleet.this.routers::size);
 
 		/**
 		 * The engines as the router knows them.
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -280,7 +280,7 @@
 		this.freshness = new Freshness(clock, wall);
 		this.retries = new RetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis());
 		this.shares = new OrganisationShares(settings.shareWindowMillis(),
-				() -> catalog().map(Catalog::tokensPerSecond).orElse(0.0));
+				() -> catalog().map(Catalog::tokensPerSecond).orElse(0.0), this::routers);
 		this.peering = new Peering(clock, settings.dataCentre(), log, this.beliefs, this.shares);
 		this.callers = new CallerServer(clock, () -> catalog().map(Catalog::limits).orElse(CallerLimits.DEFAULT),
 				(request, responder) -> new Exchange(this, request, responder).start(), this::improper,
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
@@ -15,6 +15,7 @@
 import io.netty.util.concurrent.EventExecutor;
 
 import org.ebonyford.directory.RelayChoice;
+import org.ebonyford.directory.ReportInterval;
 import org.ebonyford.directory.RouterRoster;
 import org.ebonyford.freshness.Freshness;
 import org.ebonyford.gateway.exchange.Upstream;
@@ -38,18 +39,7 @@
 final class Peering {
 
 	/**
-	 * The time in milliseconds between two reports to a peer among few peers.
-	 */
-	private static final long REPORT_MILLIS = 200;
-
-	/**
-	 * The number of peers up to which reports come that often; beyond it the pause grows
-	 * with their number, so that reports cost the same a second.
-	 */
-	private static final int FEW_PEERS = 10;
-
-	/**
-	 * The age in milliseconds up to which a report tells the age of the peer's
+	 * The least age in milliseconds up to which a report tells the age of the peer's
 	 * configuration.
 	 */
 	private static final long RECENT_MILLIS = 2_500;
@@ -198,7 +188,7 @@
 	void tick(long catalogAge) {
 		renewNames();
 		long now = this.clock.millis();
-		if (now - this.reportedAt < REPORT_MILLIS * Math.max(1, this.names.size() / FEW_PEERS)) {
+		if (now - this.reportedAt < ReportInterval.millis(this.names.size())) {
 			return;
 		}
 		this.reportedAt = now;
@@ -252,7 +242,8 @@
 
 	private boolean knowing(RouterRoster.Member peer, long now) {
 		long[] age = this.ages.get(peer.name());
-		return age != null && now - age[1] < RECENT_MILLIS && age[0] < RELAY_AGE_MILLIS;
+		long recent = Math.max(RECENT_MILLIS, ReportInterval.validMillis(this.names.size()));
+		return age != null && now - age[1] < recent && age[0] < RELAY_AGE_MILLIS;
 	}
 
 	private void reported(PeerReport report) {
--- a/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
@@ -6,6 +6,7 @@
 import java.util.function.LongSupplier;
 
 import org.ebonyford.directory.Rendezvous;
+import org.ebonyford.directory.ReportInterval;
 import org.ebonyford.directory.UpstreamEntry;
 import org.ebonyford.retry.SlidingCount;
 
@@ -14,11 +15,6 @@
  */
 public final class UpstreamState {
 
-	/**
-	 * How long in milliseconds a peer's load counts after its message.
-	 */
-	private static final long PEER_MILLIS = 2_000;
-
 	/**
 	 * The weight of a request in the average of how slow the upstream is.
 	 */
@@ -61,6 +57,11 @@
 	 */
 	private final LongSupplier memoryTokens;
 
+	/**
+	 * The number of routers.
+	 */
+	private final IntSupplier routers;
+
 	/**
 	 * The health.
 	 */
@@ -121,6 +122,7 @@
 	public UpstreamState(UpstreamEntry entry, LongSupplier memoryTokens, IntSupplier routers, long now) {
 		this.hash = Rendezvous.hash(entry.id());
 		this.memoryTokens = memoryTokens;
+		this.routers = routers;
 		this.parts = new PartCache(
 				() -> (long) (memoryTokens.getAsLong() * KEPT_PARTS / Math.max(routers.getAsInt(), 1)));
 		this.decayedAt = now;
@@ -241,10 +243,11 @@
 	 * @param now the time in milliseconds
 	 */
 	public void peer(String peer, Load load, long now) {
+		long until = now + ReportInterval.validMillis(this.routers.getAsInt());
 		PeerLoad before = load.equals(Load.NONE) ? this.peers.remove(peer)
-				: this.peers.put(peer, new PeerLoad(load, now));
+				: this.peers.put(peer, new PeerLoad(load, until));
 		this.peerSum = this.peerSum.plus(load).minus((before != null) ? before.load() : Load.NONE);
-		this.peersUntil = Math.min(this.peersUntil, now + PEER_MILLIS);
+		this.peersUntil = Math.min(this.peersUntil, until);
 	}
 
 	/**
@@ -260,12 +263,12 @@
 	}
 
 	private void expirePeers(long now) {
-		this.peers.values().removeIf((peer) -> now - peer.receivedAt() > PEER_MILLIS);
+		this.peers.values().removeIf((peer) -> now > peer.until());
 		this.peerSum = Load.NONE;
 		this.peersUntil = Long.MAX_VALUE;
 		this.peers.values().forEach((peer) -> {
 			this.peerSum = this.peerSum.plus(peer.load());
-			this.peersUntil = Math.min(this.peersUntil, peer.receivedAt() + PEER_MILLIS);
+			this.peersUntil = Math.min(this.peersUntil, peer.until());
 		});
 	}
 
@@ -302,9 +305,9 @@
 	 * The load that a peer reported.
 	 *
 	 * @param load the load
-	 * @param receivedAt when the report arrived, in milliseconds
+	 * @param until until when it counts, in milliseconds
 	 */
-	private record PeerLoad(Load load, long receivedAt) {
+	private record PeerLoad(Load load, long until) {
 	}
 
 }
--- a/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
+++ b/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.IntSupplier;
 
+import org.ebonyford.directory.ReportInterval;
 import org.ebonyford.retry.SlidingCount;
 
 /**
@@ -27,12 +29,6 @@
 	 */
 	private static final long STEP_MILLIS = 250;
 
-	/**
-	 * How long in milliseconds a peer's usage counts after its message: a few times the
-	 * pause between two messages.
-	 */
-	private static final long PEER_MILLIS = 2_000;
-
 	/**
 	 * How long in milliseconds a level is used before it is computed again.
 	 */
@@ -55,6 +51,11 @@
 	 */
 	private final DoubleSupplier statedPerSecond;
 
+	/**
+	 * The number of routers.
+	 */
+	private final IntSupplier routers;
+
 	/**
 	 * What this router saw, by the hash of the organisation.
 	 */
@@ -86,10 +87,12 @@
 	 * @param windowMillis the length of the window in milliseconds
 	 * @param statedPerSecond the tokens a second that the engines are stated to make, 0
 	 * while that is unknown
+	 * @param routers the number of routers
 	 */
-	public OrganisationShares(long windowMillis, DoubleSupplier statedPerSecond) {
+	public OrganisationShares(long windowMillis, DoubleSupplier statedPerSecond, IntSupplier routers) {
 		this.windowMillis = windowMillis;
 		this.statedPerSecond = statedPerSecond;
+		this.routers = routers;
 	}
 
 	/**
@@ -158,7 +161,8 @@
 	private void compute(long now) {
 		Map<Integer, Usage> sums = new HashMap<>();
 		this.own.forEach((organisation, counts) -> sums.put(organisation, counts.usage(now)));
-		this.peers.values().removeIf((peer) -> now - peer.receivedAt() > PEER_MILLIS);
+		long valid = ReportInterval.validMillis(this.routers.getAsInt());
+		this.peers.values().removeIf((peer) -> now - peer.receivedAt() > valid);
 		this.peers.values()
 			.forEach((peer) -> peer.usage().forEach((key, usage) -> sums.merge(key, usage, Usage::plus)));
 		double asked = sums.values().stream().mapToLong(Usage::asked).sum();
--- a/ebonyford/src/test/java/org/ebonyford/share/OrganisationSharesTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/share/OrganisationSharesTest.java
@@ -22,7 +22,7 @@
 
 	@Test
 	public void testNoneGoesFirstWhileThereIsEnough() {
-		OrganisationShares shares = new OrganisationShares(4_000, () -> 0);
+		OrganisationShares shares = new OrganisationShares(4_000, () -> 0, () -> 1);
 		shares.asked(LARGE, 1_000, 0);
 		shares.served(LARGE, 1_000, 0);
 		assertEquals(shares.used(LARGE, 10), OrganisationShares.ENOUGH);
@@ -31,7 +31,7 @@
 
 	@Test
 	public void testLargeOrganisationIsBeyondItsShareWhenSomethingIsLeftUnserved() {
-		OrganisationShares shares = new OrganisationShares(4_000, () -> 0);
+		OrganisationShares shares = new OrganisationShares(4_000, () -> 0, () -> 1);
 		shares.asked(LARGE, 9_000, 0);
 		shares.served(LARGE, 5_000, 0);
 		shares.asked(SMALL, 1_000, 0);
@@ -42,7 +42,7 @@
 
 	@Test
 	public void testStatedRateIsDividedEvenIfEnginesMakeMore() {
-		OrganisationShares shares = new OrganisationShares(4_000, () -> 1_000);
+		OrganisationShares shares = new OrganisationShares(4_000, () -> 1_000, () -> 1);
 		shares.asked(LARGE, 9_000, 0);
 		shares.served(LARGE, 9_000, 0);
 		shares.asked(SMALL, 1_000, 0);
@@ -53,7 +53,7 @@
 
 	@Test
 	public void testLessThanStatedIsDividedWhileEnginesAreOut() {
-		OrganisationShares shares = new OrganisationShares(4_000, () -> 1_000);
+		OrganisationShares shares = new OrganisationShares(4_000, () -> 1_000, () -> 1);
 		shares.asked(LARGE, 9_000, 0);
 		shares.served(LARGE, 1_500, 0);
 		shares.asked(SMALL, 1_000, 0);
@@ -63,7 +63,7 @@
 
 	@Test
 	public void testPeersCountAndAreForgotten() {
-		OrganisationShares shares = new OrganisationShares(4_000, () -> 0);
+		OrganisationShares shares = new OrganisationShares(4_000, () -> 0, () -> 1);
 		shares.peer("b", Map.of(LARGE, new Usage(9_000, 5_000), SMALL, new Usage(1_000, 300)), 0);
 		assertTrue(shares.used(LARGE, 10) > 1);
 		assertEquals(shares.used(LARGE, 5_000), OrganisationShares.ENOUGH);
@@ -71,10 +71,25 @@
 
 	@Test
 	public void testUsageLeavesTheWindow() {
-		OrganisationShares shares = new OrganisationShares(4_000, () -> 0);
+		OrganisationShares shares = new OrganisationShares(4_000, () -> 0, () -> 1);
 		shares.asked(LARGE, 9_000, 0);
 		assertEquals(shares.own(10, 100).get(LARGE).asked(), 9_000);
 		assertTrue(shares.own(10, 4_500).isEmpty());
 	}
 
+	/**
+	 * Among 95 routers a report comes every 1.8 s, and one may be lost.
+	 */
+	@Test
+	public void testUsageOfAPeerCountsUntilItsReportsAreOverdue() {
+		OrganisationShares few = new OrganisationShares(4_000, () -> 100, () -> 7);
+		OrganisationShares many = new OrganisationShares(4_000, () -> 100, () -> 95);
+		for (OrganisationShares shares : new OrganisationShares[] { few, many }) {
+			shares.peer("peer", Map.of(1, new Usage(10_000, 5_000)), 0);
+			assertTrue(shares.used(1, 0) > 1);
+		}
+		assertTrue(many.used(1, 3_700) > 1, "the next report but one is not overdue");
+		assertTrue(few.used(1, 3_700) <= 1, "a peer that fell silent counts no more");
+	}
+
 }
