Tell a gateway that has started of its data centre at once

Cause: a gateway that starts reads the store itself until it has heard its relay, among 95 gateways for up to 1.8 s, with some five calls a second; after a loss of power all 95 do.

Change: whoever reads the announcement of a gateway of its data centre sends it a report at once, one datagram.

testStartingGatewayIsToldAtOnce: red without it (nothing within a second of the last periodic report), green with it.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -281,7 +281,7 @@
 		this.retries = new RetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis());
 		this.shares = new OrganisationShares(settings.shareWindowMillis(),
 				() -> catalog().map(Catalog::tokensPerSecond).orElse(0.0), this::routers);
-		this.peering = new Peering(clock, settings.dataCentre(), log, this.beliefs, this.shares);
+		this.peering = new Peering(clock, settings.dataCentre(), log, this.beliefs, this.shares, this::catalogAge);
 		this.callers = new CallerServer(clock, () -> catalog().map(Catalog::limits).orElse(CallerLimits.DEFAULT),
 				(request, responder) -> new Exchange(this, request, responder).start(), this::improper,
 				ConnectionBounds.of(settings.descriptors()));
@@ -372,7 +372,7 @@
 		this.beliefs.expire();
 		this.beliefs.upstreams().forEach((upstream) -> check(upstream, now));
 		this.callers.check(this.endingSince > 0 && now - this.endingSince > BALANCER_MILLIS);
-		this.peering.tick(catalogAge());
+		this.peering.tick();
 		if (now - this.probedAt >= PROBE_MILLIS) {
 			this.probedAt = now;
 			this.beliefs.upstreams().forEach(this::probe);
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -80,6 +81,11 @@
 	 */
 	private final OrganisationShares shares;
 
+	/**
+	 * The age of the configuration in milliseconds.
+	 */
+	private final LongSupplier catalogAge;
+
 	/**
 	 * The reports.
 	 */
@@ -110,12 +116,14 @@
 	 */
 	private long reportedAt;
 
-	Peering(Clock clock, String dataCentre, EventLog log, Beliefs beliefs, OrganisationShares shares) {
+	Peering(Clock clock, String dataCentre, EventLog log, Beliefs beliefs, OrganisationShares shares,
+			LongSupplier catalogAge) {
 		this.clock = clock;
 		this.dataCentre = dataCentre;
 		this.log = log;
 		this.beliefs = beliefs;
 		this.shares = shares;
+		this.catalogAge = catalogAge;
 	}
 
 	InetSocketAddress open(EventLoopGroup group, InetSocketAddress address) {
@@ -173,25 +181,42 @@
 			Matcher announced = ANNOUNCEMENT
 				.matcher(record.key() + " " + new String(record.value().get(), StandardCharsets.UTF_8));
 			if (announced.matches()) {
-				this.roster.announced(new RouterRoster.Member(record.key(), announced.group(3), announced.group(1),
-						Integer.parseInt(announced.group(2)), Integer.parseInt(announced.group(4)),
-						this.clock.millis()));
+				RouterRoster.Member member = new RouterRoster.Member(record.key(), announced.group(3),
+						announced.group(1), Integer.parseInt(announced.group(2)), Integer.parseInt(announced.group(4)),
+						this.clock.millis());
+				this.roster.announced(member);
+				greet(member);
 			}
 		}
 		renewNames();
 	}
 
+	/**
+	 * Sends a report at once to a gateway of this data centre that has started, so that
+	 * it finds the one through which it reads the store.
+	 * @param member the gateway
+	 */
+	private void greet(RouterRoster.Member member) {
+		if (member.dataCentre().equals(this.dataCentre) && !member.name().equals(self())) {
+			send(report(), member);
+		}
+	}
+
 	/**
 	 * Sends a report if it is time.
-	 * @param catalogAge the age of the configuration in milliseconds
 	 */
-	void tick(long catalogAge) {
+	void tick() {
 		renewNames();
 		long now = this.clock.millis();
 		if (now - this.reportedAt < ReportInterval.millis(this.names.size())) {
 			return;
 		}
 		this.reportedAt = now;
+		byte[] bytes = report();
+		this.roster.peers(now).forEach((peer) -> send(bytes, peer));
+	}
+
+	private byte[] report() {
 		Map<Integer, Load> loads = new HashMap<>();
 		this.beliefs.upstreams()
 			.stream()
@@ -200,11 +225,13 @@
 			.sorted(Comparator.comparingInt((UpstreamState state) -> state.own().running()).reversed())
 			.limit(PeerReport.GREATEST_LOADS)
 			.forEach((state) -> loads.put(state.shortHash(), state.own()));
-		byte[] bytes = new PeerReport(self(), (int) Math.min(catalogAge, Integer.MAX_VALUE), loads,
-				this.shares.own(PeerReport.GREATEST_USAGES, now))
+		return new PeerReport(self(), (int) Math.min(this.catalogAge.getAsLong(), Integer.MAX_VALUE), loads,
+				this.shares.own(PeerReport.GREATEST_USAGES, this.clock.millis()))
 			.encode();
-		this.roster.peers(now)
-			.forEach((peer) -> this.reports.send(bytes, new InetSocketAddress(peer.host(), peer.port())));
+	}
+
+	private void send(byte[] bytes, RouterRoster.Member peer) {
+		this.reports.send(bytes, new InetSocketAddress(peer.host(), peer.port()));
 	}
 
 	/**
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayTest.java
@@ -1,6 +1,9 @@
 package org.ebonyford.gateway.process;
 
 import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
@@ -104,6 +107,35 @@
 		GatewayFixture.await("ready", () -> this.fixture.readiness() == 200);
 	}
 
+	/**
+	 * Among a hundred gateways a peer is told every two seconds; one that has just
+	 * started is told at once.
+	 */
+	@Test
+	public void testStartingGatewayIsToldAtOnce() throws IOException {
+		this.fixture.configured();
+		try (DatagramSocket old = socket(); DatagramSocket started = socket()) {
+			for (int index = 1; index <= 100; index++) {
+				this.fixture.store().write(StoreTopic.GATEWAYS, "127.0.0.1:" + index, "dc2 9");
+			}
+			this.fixture.store().write(StoreTopic.GATEWAYS, "127.0.0.1:" + old.getLocalPort(), "dc2 9");
+			GatewayFixture.await("all are known", () -> this.fixture.metrics().contains("ebonyford_gateways 102"));
+			receive(old, 5_000);
+			receive(old, 5_000);
+			this.fixture.store().write(StoreTopic.GATEWAYS, "127.0.0.1:" + started.getLocalPort(), "dc1 9");
+			receive(started, 1_000);
+		}
+	}
+
+	private static DatagramSocket socket() throws IOException {
+		return new DatagramSocket(0, InetAddress.getLoopbackAddress());
+	}
+
+	private static void receive(DatagramSocket socket, int millis) throws IOException {
+		socket.setSoTimeout(millis);
+		socket.receive(new DatagramPacket(new byte[4_096], 4_096));
+	}
+
 	@Test
 	public void testSuspendedGatewayReadsBeforeItTakesKeys() {
 		this.fixture.configured();
