Tell how old the sums of shares are, and for what cause organisations are refused

REFUSALS tells that once a second for up to four organisations, SHARES the level and the sums behind it, and PLACED and the histogram ebonyford_sums_age_ms the age of the oldest report in the sums at each decision: what the hypotheses of the incident differ in.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -223,6 +223,11 @@
 	 */
 	private long longestPause;
 
+	/**
+	 * Why the request is refused if it is.
+	 */
+	private RefusalTally.Cause refusal = RefusalTally.Cause.OTHER;
+
 	/**
 	 * Whether the request was answered or given up.
 	 */
@@ -254,6 +259,7 @@
 			return;
 		}
 		if (this.serving.behind()) {
+			this.refusal = RefusalTally.Cause.BEHIND;
 			refuse(503, "the gateway is behind", BEHIND_RETRY_MILLIS);
 			return;
 		}
@@ -364,6 +370,7 @@
 		double used = this.organisation.isEmpty() ? 0 : this.serving.shares().used(this.organisation.hashCode(), now);
 		Terms terms = new Terms(Admission.limitMillis(this.route.targetMillis(), used, remaining()), used,
 				this.route.gapMillis(), this.serving.shares().leads(this.organisation.hashCode(), now));
+		this.serving.metrics().time("ebonyford_sums_age_ms", "", this.serving.shares().sumsAge(now));
 		Optional<Choice> choice = this.service.placement()
 			.choose(this.work, ServiceState.states(candidates), terms, now);
 		if (choice.isEmpty()) {
@@ -383,6 +390,7 @@
 			.findFirst()
 			.orElseThrow();
 		if (this.arrivals == 0) {
+			this.serving.refusals().taken(this.organisation);
 			this.serving.shares().served(this.organisation.hashCode(), this.work.shareTokens(), now);
 		}
 		send(upstream, choice.get(), terms);
@@ -411,6 +419,7 @@
 	}
 
 	private void overloaded(Choice choice, Terms terms) {
+		this.refusal = terms.beyond() ? RefusalTally.Cause.SHARE : RefusalTally.Cause.BUSY;
 		this.story.add(placed(choice, terms).with("taken", false));
 		refuse(terms.beyond() ? 429 : 503,
 				terms.beyond() ? "the organisation is beyond its share" : "the upstreams are busy",
@@ -425,6 +434,7 @@
 			.with("ahead_ms", choice.aheadMillis())
 			.with("limit_ms", terms.limitMillis())
 			.with("used_share", terms.usedShare())
+			.with("sums_age_ms", this.serving.shares().sumsAge(this.serving.clock().millis()))
 			.with("leads", terms.leads())
 			.with("unread_tokens", choice.unread())
 			.with("home", choice.home())
@@ -734,6 +744,7 @@
 				.with("runs", this.runs)
 				.with("retry_after_ms", retryMillis)
 				.with("configuration_age_ms", this.serving.catalogAge()));
+		this.serving.refusals().refused(this.organisation, this.refusal);
 		this.serving.metrics().count("ebonyford_refusals", "reason=\"" + reason + "\"");
 		this.responder.respond(status, headers, new byte[0]);
 		finish("refused", status);
--- /dev/null
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/RefusalTally.java
@@ -0,0 +1,129 @@
+package org.ebonyford.gateway.exchange;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import org.ebonyford.gateway.log.GatewayEvent;
+import org.ebonyford.gateway.log.LogLine;
+
+/**
+ * Counts what became of each organisation's requests at this gateway since the last
+ * lines, so that a few lines a second tell who was refused and why, also where more
+ * requests are refused than are logged.
+ */
+public final class RefusalTally {
+
+	/**
+	 * The greatest number of organisations that are told of at a time, those with the
+	 * most refusals.
+	 */
+	private static final int GREATEST_LINES = 4;
+
+	/**
+	 * The counts by organisation; requests that are refused before their organisation is
+	 * known count for the empty name.
+	 */
+	private final Map<String, Counts> counts = new HashMap<>();
+
+	/**
+	 * Notes that a request was sent to an upstream.
+	 * @param organisation its organisation
+	 */
+	public void taken(String organisation) {
+		counts(organisation).taken++;
+	}
+
+	/**
+	 * Notes that a request was refused.
+	 * @param organisation its organisation, empty if it is not known
+	 * @param cause why
+	 */
+	public void refused(String organisation, Cause cause) {
+		counts(organisation).refused[cause.ordinal()]++;
+	}
+
+	/**
+	 * Returns lines on the organisations that were refused, and begins anew.
+	 * @return the lines, the most refusals first
+	 */
+	public List<LogLine> drain() {
+		List<LogLine> lines = this.counts.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().refusals() > 0)
+			.sorted(Comparator.comparingInt((Map.Entry<String, Counts> entry) -> entry.getValue().refusals())
+				.reversed())
+			.limit(GREATEST_LINES)
+			.map((entry) -> line(entry.getKey(), entry.getValue()))
+			.toList();
+		this.counts.clear();
+		return lines;
+	}
+
+	private static LogLine line(String organisation, Counts counts) {
+		LogLine line = LogLine.of(GatewayEvent.REFUSALS).with("organisation", organisation).with("taken", counts.taken);
+		for (Cause cause : Cause.values()) {
+			line = line.with("refused_" + cause.name().toLowerCase(Locale.ROOT), counts.refused[cause.ordinal()]);
+		}
+		return line;
+	}
+
+	private Counts counts(String organisation) {
+		return this.counts.computeIfAbsent(organisation, (key) -> new Counts());
+	}
+
+	/**
+	 * Why a request was refused.
+	 */
+	public enum Cause {
+
+		/**
+		 * Its organisation is beyond its share.
+		 */
+		SHARE,
+
+		/**
+		 * Its answer would begin too late.
+		 */
+		BUSY,
+
+		/**
+		 * The gateway reads requests late.
+		 */
+		BEHIND,
+
+		/**
+		 * Any other cause.
+		 */
+		OTHER
+
+	}
+
+	/**
+	 * What became of an organisation's requests.
+	 */
+	private static final class Counts {
+
+		/**
+		 * The requests that were sent.
+		 */
+		private int taken;
+
+		/**
+		 * The requests that were refused, by cause.
+		 */
+		private final int[] refused = new int[Cause.values().length];
+
+		int refusals() {
+			int sum = 0;
+			for (int count : this.refused) {
+				sum += count;
+			}
+			return sum;
+		}
+
+	}
+
+}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
@@ -121,6 +121,12 @@
 	 */
 	OrganisationShares shares();
 
+	/**
+	 * Returns the counts of what was refused.
+	 * @return the counts, which the process writes to the log
+	 */
+	RefusalTally refusals();
+
 	/**
 	 * Returns the memory for answers that are read before they are passed on.
 	 * @return the memory, which all requests share
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/GatewayEvent.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/GatewayEvent.java
@@ -70,6 +70,13 @@
 	/** Requests are refused. */
 	REQUEST_SUSPECTED(21, true, "Upstreams have ended under a request; from now on it is refused."),
 
+	/** Sums of shares. */
+	SHARES(22, true,
+			"Something was refused in the last second; the line tells the level of the shares, the sums behind it, and how old the oldest of them is."),
+
+	/** Refusals of an organisation. */
+	REFUSALS(23, true, "What became of an organisation's requests at this gateway in the last second, by cause."),
+
 	/** A request was read. */
 	REQUEST(30, false, "A request was read and its route found."),
 
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -32,6 +32,7 @@
 import org.ebonyford.gateway.caller.CallerServer;
 import org.ebonyford.gateway.exchange.AnswerMemory;
 import org.ebonyford.gateway.exchange.Exchange;
+import org.ebonyford.gateway.exchange.RefusalTally;
 import org.ebonyford.gateway.exchange.ServiceState;
 import org.ebonyford.gateway.exchange.Serving;
 import org.ebonyford.gateway.exchange.Upstream;
@@ -89,6 +90,12 @@
 	 */
 	private static final long BALANCER_MILLIS = 2_600;
 
+	/**
+	 * How often in milliseconds lines on refusals are written: shares are judged by the
+	 * second.
+	 */
+	private static final long TALLY_MILLIS = 1_000;
+
 	/**
 	 * The time in milliseconds between two health checks of a silent upstream.
 	 */
@@ -258,6 +265,16 @@
 	 */
 	private long probedAt;
 
+	/**
+	 * What was refused since the last lines on it.
+	 */
+	private final RefusalTally refusals = new RefusalTally();
+
+	/**
+	 * When lines on refusals were last written, in milliseconds.
+	 */
+	private long talliedAt;
+
 	/**
 	 * When a plain success was last logged, in milliseconds.
 	 */
@@ -382,9 +399,32 @@
 			this.probedAt = now;
 			this.beliefs.upstreams().forEach(this::probe);
 		}
+		if (now - this.talliedAt >= TALLY_MILLIS) {
+			this.talliedAt = now;
+			tally(now);
+		}
 		readiness();
 	}
 
+	/**
+	 * Tells what was refused since the last time.
+	 * @param now the time in milliseconds
+	 */
+	private void tally(long now) {
+		List<LogLine> lines = this.refusals.drain();
+		if (!lines.isEmpty()) {
+			OrganisationShares.Sums sums = this.shares.sums(now);
+			this.log.write(LogLine.of(GatewayEvent.SHARES)
+				.with("level_tokens", sums.level())
+				.with("asked_tokens", sums.asked())
+				.with("served_tokens", sums.served())
+				.with("organisations", sums.organisations())
+				.with("sources", sums.sources())
+				.with("sums_age_ms", sums.ageMillis()));
+			lines.forEach(this.log::write);
+		}
+	}
+
 	private void diverged() {
 		this.log.write(LogLine.of(GatewayEvent.CLOCKS_DIVERGED));
 		this.calls.closeIdle();
@@ -603,6 +643,11 @@
 		return this.shares;
 	}
 
+	@Override
+	public RefusalTally refusals() {
+		return this.refusals;
+	}
+
 	@Override
 	public AnswerMemory answerMemory() {
 		return this.answerMemory;
--- a/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
+++ b/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
@@ -90,6 +90,11 @@
 	 */
 	private double leastRefused = Double.POSITIVE_INFINITY;
 
+	/**
+	 * When the oldest report that counts arrived, in milliseconds.
+	 */
+	private long oldestAt = Long.MAX_VALUE;
+
 	/**
 	 * When the level was computed, in milliseconds.
 	 */
@@ -181,6 +186,28 @@
 		return this.totals.getOrDefault(organisation, Usage.NONE).served() > ALIKE * this.leastRefused;
 	}
 
+	/**
+	 * Returns what the level was computed from.
+	 * @param now the time in milliseconds
+	 * @return the sums
+	 */
+	public Sums sums(long now) {
+		renew(now);
+		long asked = this.totals.values().stream().mapToLong(Usage::asked).sum();
+		long served = this.totals.values().stream().mapToLong(Usage::served).sum();
+		return new Sums(this.level, asked, served, this.totals.size(), this.peers.size() + 1, sumsAge(now));
+	}
+
+	/**
+	 * Returns the age of the oldest report that counts.
+	 * @param now the time in milliseconds
+	 * @return the age in milliseconds, 0 if there is none
+	 */
+	public long sumsAge(long now) {
+		renew(now);
+		return now - Math.min(this.oldestAt, now);
+	}
+
 	private void renew(long now) {
 		if (now - this.computedAt >= LEVEL_MILLIS || this.computedAt == Long.MIN_VALUE) {
 			compute(now);
@@ -194,6 +221,7 @@
 		this.peers.values().removeIf((peer) -> now - peer.receivedAt() > valid);
 		this.peers.values()
 			.forEach((peer) -> peer.usage().forEach((key, usage) -> sums.merge(key, usage, Usage::plus)));
+		this.oldestAt = this.peers.values().stream().mapToLong(PeerUsage::receivedAt).min().orElse(Long.MAX_VALUE);
 		double asked = sums.values().stream().mapToLong(Usage::asked).sum();
 		double served = sums.values().stream().mapToLong(Usage::served).sum();
 		double[] demands = sums.values().stream().mapToDouble(Usage::asked).toArray();
@@ -226,6 +254,19 @@
 		return this.own.computeIfAbsent(organisation, (key) -> new Counts(this.windowMillis));
 	}
 
+	/**
+	 * What the level was computed from.
+	 *
+	 * @param level the level in tokens a window, infinite if there is enough for everyone
+	 * @param asked the tokens that were asked for within the window
+	 * @param served the tokens that were served
+	 * @param organisations the number of organisations that asked
+	 * @param sources the number of routers whose counts are in the sums
+	 * @param ageMillis the age of the oldest report in milliseconds
+	 */
+	public record Sums(double level, long asked, long served, int organisations, int sources, long ageMillis) {
+	}
+
 	/**
 	 * What a peer reported.
 	 *
