Show that refused organisations fall behind at 6 to 340 routers

The model of engines reported every 200 ms and was played with six routers only, so that nothing saw what follows from the product's own pace.

--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 
+import org.ebonyford.directory.ReportInterval;
 import org.ebonyford.directory.UpstreamEntry;
 import org.ebonyford.placement.Admission;
 import org.ebonyford.placement.Choice;
@@ -23,7 +24,8 @@
 /**
  * Plays a load on a model of engines and routers in simulated time: an engine reads one
  * prompt after the other, keeps the parts that it read, and runs a bounded number of
- * requests; routers know their own requests at once and those of others with a delay.
+ * requests; routers know their own requests at once and those of others when these
+ * report, at the pace of the product.
  */
 public final class EngineFleet {
 
@@ -62,11 +64,6 @@
 	 */
 	private static final double PAUSE_MILLIS = 400;
 
-	/**
-	 * The time in milliseconds between two reports of a router.
-	 */
-	private static final long REPORT_MILLIS = 200;
-
 	/**
 	 * What the routers decide by.
 	 */
@@ -144,9 +141,13 @@
 	public EngineFleet play(List<Request> load) {
 		load.forEach((request) -> this.events.add(new Event(request.at(), () -> arrive(request))));
 		long end = load.get(load.size() - 1).at();
-		for (long at = REPORT_MILLIS; at < end; at += REPORT_MILLIS) {
-			long now = at;
-			this.events.add(new Event(now, () -> report(now)));
+		long pause = ReportInterval.millis(this.routers.size());
+		for (int index = 0; index < this.routers.size(); index++) {
+			Router router = this.routers.get(index);
+			for (long at = pause * (index + 1) / this.routers.size(); at < end; at += pause) {
+				long now = at;
+				this.events.add(new Event(now, () -> report(router, now)));
+			}
 		}
 		while (!this.events.isEmpty()) {
 			this.events.poll().action().run();
@@ -265,15 +266,12 @@
 			.orElseThrow();
 	}
 
-	private void report(long now) {
-		for (Router sender : this.routers) {
-			Map<Integer, Usage> usage = sender.shares.own(40, now);
-			for (Router receiver : this.routers) {
-				if (receiver != sender) {
-					receiver.shares.peer(sender.name, usage, now);
-					receiver.states
-						.forEach((name, state) -> state.peer(sender.name, sender.states.get(name).own(), now));
-				}
+	private void report(Router sender, long now) {
+		Map<Integer, Usage> usage = sender.shares.own(40, now);
+		for (Router receiver : this.routers) {
+			if (receiver != sender) {
+				receiver.shares.peer(sender.name, usage, now);
+				receiver.states.forEach((name, state) -> state.peer(sender.name, sender.states.get(name).own(), now));
 			}
 		}
 	}
--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Request.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Request.java
@@ -18,6 +18,12 @@
  */
 public record Request(long at, int router, int organisation, Work work, double targetMillis) {
 
+	/**
+	 * The number of routers among which a request's router is drawn, many times that of
+	 * the largest fleet that is played.
+	 */
+	private static final int ROUTERS = 10_000;
+
 	/**
 	 * Draws requests whose prompts share a subject.
 	 * @param seed the seed
@@ -64,7 +70,7 @@
 		int subject = random.nextInt(subjects);
 		Work work = Work.of(List.of(new PromptPart(subject % 3, 500), new PromptPart(100 + subject, 4_900),
 				new PromptPart(random.nextLong(), own)), 5_400 + own, 200 + random.nextInt(200));
-		return new Request(at, random.nextInt(100), organisations[random.nextInt(organisations.length)], work, 600);
+		return new Request(at, random.nextInt(ROUTERS), organisations[random.nextInt(organisations.length)], work, 600);
 	}
 
 }
