Keep the largest report within one packet

Tokens of a window are told in 24 bits, recent ones in units of 50 tokens, in 14 bytes an organisation.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/peer/PeerReport.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/peer/PeerReport.java
@@ -35,6 +35,17 @@
 	 */
 	private static final int TOKEN_UNIT = 32;
 
+	/**
+	 * The greatest number of tokens of a window that is told: several times what one
+	 * gateway is asked for by all organisations.
+	 */
+	private static final int GREATEST_WHOLE = 0xff_ffff;
+
+	/**
+	 * The unit in which recent tokens are told: a small part of a short request.
+	 */
+	private static final long RECENT_UNIT = 50;
+
 	/**
 	 * The greatest number of these units.
 	 */
@@ -72,11 +83,13 @@
 			.putShort(units(load.reading()))
 			.putShort(units(load.memory())));
 		buffer.put((byte) this.usages.size());
-		this.usages.forEach((organisation, usage) -> buffer.putInt(organisation)
-			.putInt((int) usage.asked())
-			.putInt((int) usage.served())
-			.putInt((int) usage.recentlyAsked())
-			.putInt((int) usage.recentlyServed()));
+		this.usages.forEach((organisation, usage) -> {
+			buffer.putInt(organisation);
+			putWhole(buffer, usage.asked());
+			putWhole(buffer, usage.served());
+			putRecent(buffer, usage.recentlyAsked());
+			putRecent(buffer, usage.recentlyServed());
+		});
 		byte[] bytes = new byte[buffer.position()];
 		buffer.flip().get(bytes);
 		return bytes;
@@ -90,6 +103,23 @@
 		return (buffer.getShort() & GREATEST_UNITS) * (long) TOKEN_UNIT;
 	}
 
+	private static void putWhole(ByteBuffer buffer, long tokens) {
+		int told = (int) Math.min(tokens, GREATEST_WHOLE);
+		buffer.put((byte) (told >>> Short.SIZE)).putShort((short) told);
+	}
+
+	private static long whole(ByteBuffer buffer) {
+		return ((buffer.get() & 0xff) << Short.SIZE) | (buffer.getShort() & GREATEST_UNITS);
+	}
+
+	private static void putRecent(ByteBuffer buffer, long tokens) {
+		buffer.putShort((short) Math.min((tokens + RECENT_UNIT / 2) / RECENT_UNIT, GREATEST_UNITS));
+	}
+
+	private static long recent(ByteBuffer buffer) {
+		return (buffer.getShort() & GREATEST_UNITS) * RECENT_UNIT;
+	}
+
 	/**
 	 * Decodes a report.
 	 * @param bytes the bytes
@@ -110,8 +140,7 @@
 			}
 			Map<Integer, Usage> usages = new HashMap<>();
 			for (int rest = buffer.get(); rest > 0; rest--) {
-				usages.put(buffer.getInt(),
-						new Usage(buffer.getInt(), buffer.getInt(), buffer.getInt(), buffer.getInt()));
+				usages.put(buffer.getInt(), new Usage(whole(buffer), whole(buffer), recent(buffer), recent(buffer)));
 			}
 			return buffer.hasRemaining() ? Optional.empty()
 					: Optional.of(new PeerReport(new String(text, StandardCharsets.US_ASCII), age, loads, usages));
