--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/RepeatLimitsTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/RepeatLimitsTest.java
@@ -49,8 +49,8 @@
 	@Test(dataProvider = "failures")
 	public void testRequestRunsOnNoMoreUpstreamsThanItsRouteAllows(Script failure) {
 		start("reads", failure);
-		this.fixture.call("/read/1", "a", "");
-		assertEquals(requests().size(), MAX_ATTEMPTS);
+		String answer = this.fixture.call("/read/1", "a", "");
+		assertEquals(requests().size(), MAX_ATTEMPTS, answer + "\n" + this.fixture.log());
 	}
 
 	@Test(dataProvider = "failures")
