Serve an organisation's turns also at gateways that are behind

While requests are refused for shares anyway, a gateway that is behind now takes those whose turn it is, unless it is more than 400 ms behind: their number is bounded by the share.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -83,6 +83,11 @@
 	 */
 	private static final double BEHIND_RETRY_MILLIS = 250;
 
+	/**
+	 * Why a request is refused for its organisation's share.
+	 */
+	private static final String BEYOND_SHARE = "the organisation is beyond its share";
+
 	/**
 	 * The scheme of the {@code Authorization} header.
 	 */
@@ -264,9 +269,9 @@
 			refuse(400, "the request has no identifier", 0);
 			return;
 		}
-		if (this.serving.behind()) {
-			this.refusal = RefusalTally.Cause.BEHIND;
-			refuse(503, "the gateway is behind", BEHIND_RETRY_MILLIS);
+		boolean behind = this.serving.behind();
+		if (behind && (this.serving.farBehind() || !this.serving.shares().scarce(this.startedAt))) {
+			refuseBehind();
 			return;
 		}
 		if (this.serving.catalog().isEmpty()) {
@@ -283,10 +288,20 @@
 		this.route = found.get();
 		if (authorised(catalog)) {
 			prepare();
-			place();
+			if (behind && (this.organisation.isEmpty() || !this.turn.passes())) {
+				refuseBehind();
+			}
+			else {
+				place();
+			}
 		}
 	}
 
+	private void refuseBehind() {
+		this.refusal = RefusalTally.Cause.BEHIND;
+		refuse(503, "the gateway is behind", BEHIND_RETRY_MILLIS);
+	}
+
 	private boolean authorised(Catalog catalog) {
 		if (this.route.open() || catalog.keys().isEmpty()) {
 			return true;
@@ -374,6 +389,11 @@
 			return;
 		}
 		long now = this.serving.clock().millis();
+		if (this.arrivals == 0 && !this.turn.passes() && !this.service.calmWatch().worthLooking(now)) {
+			this.refusal = RefusalTally.Cause.SHARE;
+			refuse(429, BEYOND_SHARE, Admission.retryMillis(this.turn));
+			return;
+		}
 		List<Upstream> candidates = this.serving.candidates(this.service, this.tried);
 		double used = this.organisation.isEmpty() ? 0 : this.serving.shares().used(this.organisation.hashCode(), now);
 		Terms terms = new Terms(Admission.limitMillis(this.route.targetMillis(), used, remaining()), used,
@@ -389,7 +409,11 @@
 			giveUp("the process is about to end", UNAVAILABLE_RETRY_MILLIS);
 			return;
 		}
-		if (this.arrivals == 0 && !Admission.takes(choice.get(), terms)) {
+		boolean taken = Admission.takes(choice.get(), terms);
+		if (!this.turn.passes()) {
+			this.service.calmWatch().looked(taken, now);
+		}
+		if (this.arrivals == 0 && !taken) {
 			overloaded(choice.get(), terms);
 			return;
 		}
@@ -429,8 +453,7 @@
 	private void overloaded(Choice choice, Terms terms) {
 		this.refusal = terms.beyond() ? RefusalTally.Cause.SHARE : RefusalTally.Cause.BUSY;
 		this.story.add(placed(choice, terms).with("taken", false));
-		refuse(terms.beyond() ? 429 : 503,
-				terms.beyond() ? "the organisation is beyond its share" : "the upstreams are busy",
+		refuse(terms.beyond() ? 429 : 503, terms.beyond() ? BEYOND_SHARE : "the upstreams are busy",
 				Admission.retryMillis(choice, terms));
 	}
 
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/ServiceState.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/ServiceState.java
@@ -9,6 +9,7 @@
 
 import org.ebonyford.catalog.EngineProfile;
 import org.ebonyford.catalog.ServiceDefinition;
+import org.ebonyford.placement.CalmWatch;
 import org.ebonyford.placement.Placement;
 import org.ebonyford.placement.ServicePace;
 import org.ebonyford.placement.UpstreamState;
@@ -18,6 +19,11 @@
  */
 public final class ServiceState {
 
+	/**
+	 * Whether requests beyond shares lately found a calm upstream.
+	 */
+	private final CalmWatch calmWatch = new CalmWatch();
+
 	/**
 	 * How fast the upstreams work.
 	 */
@@ -120,4 +126,12 @@
 		return states;
 	}
 
+	/**
+	 * Returns whether requests beyond shares lately found a calm upstream.
+	 * @return the watch, to be told of them
+	 */
+	public CalmWatch calmWatch() {
+		return this.calmWatch;
+	}
+
 }
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
@@ -88,6 +88,12 @@
 	 */
 	boolean behind();
 
+	/**
+	 * Returns whether requests are read so late that none is taken.
+	 * @return {@code true} while the process is far behind its callers
+	 */
+	boolean farBehind();
+
 	/**
 	 * Returns a service.
 	 * @param name the name
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -600,6 +600,11 @@
 		return this.backlog.behind(this.clock.millis());
 	}
 
+	@Override
+	public boolean farBehind() {
+		return this.backlog.farBehind(this.clock.millis());
+	}
+
 	@Override
 	public ServiceState service(String name) {
 		return this.beliefs.service(name);
--- a/ebonyford/src/main/java/org/ebonyford/lifecycle/Backlog.java
+++ b/ebonyford/src/main/java/org/ebonyford/lifecycle/Backlog.java
@@ -4,7 +4,10 @@
  * Tells when a process falls behind its callers, from how late its own timer runs. It
  * answers the load of more requests than one VM can read: what is read late would reach
  * an upstream after its caller has left, so it is refused before anything is decided
- * about it, which is what lets the process catch up.
+ * about it, which is what lets the process catch up. Where requests are refused for their
+ * organisations' shares anyway, those whose turn it is are still taken, unless the
+ * process is far behind: the callers of an organisation may all come to the same few VMs,
+ * and would get nothing as long as these are behind.
  */
 public final class Backlog {
 
@@ -19,6 +22,13 @@
 	 */
 	private static final long BEHIND_MILLIS = 150;
 
+	/**
+	 * The delay in milliseconds from which the process is far behind: what it reads may
+	 * have waited for nearly the half second after which work for a caller that has left
+	 * counts as a fault.
+	 */
+	private static final long FAR_BEHIND_MILLIS = 400;
+
 	/**
 	 * The delay in milliseconds below which it has caught up.
 	 */
@@ -29,6 +39,11 @@
 	 */
 	private long readAt = -1;
 
+	/**
+	 * The delay of the last reading in milliseconds.
+	 */
+	private long lastDelay;
+
 	/**
 	 * Whether the process is behind.
 	 */
@@ -39,7 +54,8 @@
 	 * @param now the time in milliseconds
 	 */
 	public void read(long now) {
-		this.behind = delay(now) > (this.behind ? CALM_MILLIS : BEHIND_MILLIS);
+		this.lastDelay = delay(now);
+		this.behind = this.lastDelay > (this.behind ? CALM_MILLIS : BEHIND_MILLIS);
 		this.readAt = now;
 	}
 
@@ -54,6 +70,15 @@
 		return this.behind || delay(now) > BEHIND_MILLIS;
 	}
 
+	/**
+	 * Returns whether requests are read so late that none is taken.
+	 * @param now the time in milliseconds
+	 * @return {@code true} from a reading that was far too late until the next one
+	 */
+	public boolean farBehind(long now) {
+		return Math.max(this.lastDelay, delay(now)) > FAR_BEHIND_MILLIS;
+	}
+
 	private long delay(long now) {
 		return (this.readAt < 0) ? 0 : now - this.readAt - PERIOD_MILLIS;
 	}
--- a/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
@@ -1,5 +1,7 @@
 package org.ebonyford.placement;
 
+import org.ebonyford.share.Turn;
+
 /**
  * Decides whether a request is taken or refused at once, from the time at which its
  * answer would begin and from how much of its fair share its organisation has used. It
@@ -140,4 +142,14 @@
 		return Math.max(LEAST_RETRY_MILLIS, Math.min(Math.max(queue, share), LONGEST_RETRY_MILLIS));
 	}
 
+	/**
+	 * Returns the time after which a request may come back that was not its
+	 * organisation's turn: the less of its requests the share covers, the later.
+	 * @param turn the turn
+	 * @return the time in milliseconds
+	 */
+	public static double retryMillis(Turn turn) {
+		return Math.max(LEAST_RETRY_MILLIS, LONGEST_RETRY_MILLIS * (1 - turn.part()));
+	}
+
 }
--- a/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
+++ b/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
@@ -253,6 +253,17 @@
 		return new Turn(counts(organisation).passes(part), part);
 	}
 
+	/**
+	 * Returns whether requests are refused for the sake of shares, so that turns bound
+	 * how many are let through.
+	 * @param now the time in milliseconds
+	 * @return {@code true} while engines are asked for more than they make
+	 */
+	public boolean scarce(long now) {
+		renew(now);
+		return !Double.isInfinite(this.turnLevel);
+	}
+
 	private double demand(Usage usage) {
 		return ofWindow(usage.recentlyAsked());
 	}
