Show that an organisation gets its turns from a gateway that is behind

BehindGatewayTest blocks the event loop while 60 requests of one organisation arrive, of which a peer tells that it is served a fifth.

--- /dev/null
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/BehindGatewayTest.java
@@ -0,0 +1,113 @@
+package org.ebonyford.gateway.process;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import org.ebonyford.gateway.process.FakeUpstream.Script;
+import org.ebonyford.share.Usage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * A gateway that reads its callers late, as all callers of an organisation come to it.
+ */
+public class BehindGatewayTest {
+
+	private static final int CALLERS = 60;
+
+	/**
+	 * Well over the delay from which a gateway is behind, and below that from which it
+	 * takes nothing.
+	 */
+	private static final long BEHIND_MILLIS = 250;
+
+	private static final long FAR_BEHIND_MILLIS = 900;
+
+	private GatewayFixture fixture;
+
+	private FakeUpstream upstream;
+
+	@BeforeMethod
+	public void start() {
+		this.fixture = new GatewayFixture().configured();
+		this.upstream = this.fixture.upstream("u1", "models", Script.ok("x"));
+	}
+
+	@AfterMethod(alwaysRun = true)
+	public void stop() throws IOException {
+		this.fixture.close();
+	}
+
+	@Test
+	public void testOrganisationGetsItsTurnsFromAGatewayThatIsBehind() throws IOException {
+		refusedElsewhere();
+		List<String> answers = callWhileBusyFor(BEHIND_MILLIS);
+		long served = answers.stream().filter((answer) -> answer.startsWith("HTTP/1.1 200")).count();
+		assertTrue(served >= 3 && served <= 30, served + " of " + CALLERS + " were served\n" + this.fixture.log());
+		assertEquals(this.upstream.requests().size(), served);
+	}
+
+	@Test
+	public void testNothingIsTakenWhereNothingIsRefusedForShares() throws IOException {
+		callWhileBusyFor(BEHIND_MILLIS);
+		assertEquals(this.upstream.requests().size(), 0);
+	}
+
+	@Test
+	public void testNothingIsTakenFarBehind() throws IOException {
+		refusedElsewhere();
+		callWhileBusyFor(FAR_BEHIND_MILLIS);
+		assertEquals(this.upstream.requests().size(), 0);
+	}
+
+	/**
+	 * Lets a peer tell that the organisation is served a fifth of what it asks.
+	 */
+	private void refusedElsewhere() {
+		Gateway gateway = this.fixture.gateway();
+		gateway.loop()
+			.submit(() -> gateway.shares()
+				.peer("peer", Map.of("acme".hashCode(), new Usage(1_000_000, 200_000, 250_000, 50_000)),
+						gateway.clock().millis()))
+			.syncUninterruptibly();
+	}
+
+	/**
+	 * Sends requests of all callers while the event loop does something else.
+	 * @param millis how long it does
+	 * @return the answers
+	 */
+	private List<String> callWhileBusyFor(long millis) throws IOException {
+		List<Socket> sockets = new ArrayList<>();
+		for (int index = 0; index < CALLERS; index++) {
+			sockets.add(this.fixture.connect());
+		}
+		this.fixture.call("/open/1", "accepted", "");
+		this.fixture.gateway().loop().submit(() -> {
+			TimeUnit.MILLISECONDS.sleep(millis);
+			return null;
+		});
+		for (int index = 0; index < CALLERS; index++) {
+			String request = GatewayFixture.request("/model/1", "a" + index, "Tokens: 5000\r\n");
+			sockets.get(index).getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+		}
+		List<String> answers = new ArrayList<>();
+		for (Socket socket : sockets) {
+			try (socket) {
+				answers.add(new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1));
+			}
+		}
+		return answers;
+	}
+
+}
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -24,6 +24,7 @@
 import org.ebonyford.catalog.Backend;
 import org.ebonyford.catalog.CallerLimits;
 import org.ebonyford.catalog.Catalog;
+import org.ebonyford.catalog.EngineProfile;
 import org.ebonyford.catalog.KeyHolder;
 import org.ebonyford.catalog.Route;
 import org.ebonyford.catalog.RouteKind;
@@ -65,6 +66,8 @@
 	 */
 	private static final long RETRY_WINDOW_MILLIS = 200;
 
+	private static final int ENGINE_SLOTS = 64;
+
 	private final FakeStore store;
 
 	private final MetadataStore view;
@@ -240,10 +243,13 @@
 				route("/resume/", RouteKind.RESUMABLE_STREAM, "resumes", 5_000, false),
 				route("/short/", RouteKind.AT_MOST_ONCE, "shorts", 300, false),
 				route("/open/", RouteKind.IDEMPOTENT, "opens", 3_000, true),
-				route("/cold/", RouteKind.AT_MOST_ONCE, "colds", 3_000, false));
+				route("/cold/", RouteKind.AT_MOST_ONCE, "colds", 3_000, false),
+				route("/model/", RouteKind.AT_MOST_ONCE, "models", 3_000, false));
 		Map<String, ServiceDefinition> services = new HashMap<>();
-		routes.forEach((route) -> services.put(route.service(0), new ServiceDefinition(route.service(0), "/health", 100,
-				route.service(0).equals("colds") ? 4 : 0, Optional.empty())));
+		routes.forEach((route) -> services.put(route.service(0),
+				new ServiceDefinition(route.service(0), "/health", 100, route.service(0).equals("colds") ? 4 : 0,
+						route.service(0).equals("models")
+								? Optional.of(new EngineProfile(ENGINE_SLOTS, 1_000_000, false)) : Optional.empty())));
 		return new Catalog(number, RouteTable.of(routes), services, new CallerLimits(4_096, 1_000, 500, 2_000), 0,
 				Optional.of(Map.copyOf(this.keys)));
 	}
@@ -266,7 +272,7 @@
 
 		@Override
 		public Work work(HttpHeaders headers) {
-			return Work.NONE;
+			return Work.of(List.of(), headers.getInt("Tokens", 0), 0);
 		}
 
 		@Override
@@ -282,8 +288,9 @@
 		public Optional<UpstreamEntry> upstream(String id, byte[] value) {
 			String[] words = new String(value).split(" ");
 			return (words.length < 4) ? Optional.empty()
-					: Optional.of(new UpstreamEntry(id, words[0], "127.0.0.1", Integer.parseInt(words[1]), words[2], 4,
-							Boolean.parseBoolean(words[3]), words[0].equals("colds") ? COLD_MILLIS : 0, 1));
+					: Optional.of(new UpstreamEntry(id, words[0], "127.0.0.1", Integer.parseInt(words[1]), words[2],
+							words[0].equals("models") ? ENGINE_SLOTS : 4, Boolean.parseBoolean(words[3]),
+							words[0].equals("colds") ? COLD_MILLIS : 0, 1));
 		}
 
 		@Override
