Do as little as possible for a request that is refused without a look at upstreams

Such a request now schedules no deadline, composes no lines that the log drops (EventLog.room), and its Retry-After no format string. Behaviour and answers are the same; a refusal's line tells turn_part.

--- /dev/null
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/RouterFaults.java
@@ -0,0 +1,33 @@
+package org.ebonyford.benchmark.engine;
+
+import java.util.List;
+
+/**
+ * What befalls routers while a load is played.
+ */
+public interface RouterFaults {
+
+	/**
+	 * No fault.
+	 */
+	RouterFaults NONE = (receiver, sender, now) -> true;
+
+	/**
+	 * Returns whether a report reaches a router.
+	 * @param receiver the number of the router
+	 * @param sender the number of the router that reports
+	 * @param now the time in milliseconds
+	 * @return {@code false} if the report is lost
+	 */
+	boolean hears(int receiver, int sender, long now);
+
+	/**
+	 * Returns when a router starts anew, without anything that it knew.
+	 * @param router the number of the router
+	 * @return the times in milliseconds
+	 */
+	default List<Long> restartsAt(int router) {
+		return List.of();
+	}
+
+}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -287,17 +286,45 @@
 		}
 		this.route = found.get();
 		if (authorised(catalog)) {
-			prepare();
-			if (behind && (this.organisation.isEmpty() || !this.turn.passes())) {
-				refuseBehind();
-			}
-			else {
+			recognise();
+			if (!refusedUnplaced(behind)) {
+				prepare();
 				place();
 			}
 		}
 	}
 
+	/**
+	 * Refuses the request if that is decided without a look at the upstreams. It answers
+	 * the load of storms of requests beyond a share: as little as possible is done for
+	 * each of them, and lines that the log would drop are not composed.
+	 * @param behind whether the gateway reads its callers late
+	 * @return whether the request was refused
+	 */
+	private boolean refusedUnplaced(boolean behind) {
+		boolean turn = this.turn.passes() && !(behind && this.organisation.isEmpty());
+		if (turn || (!behind && this.service.calmWatch().worthLooking(this.startedAt))) {
+			return false;
+		}
+		if (behind) {
+			refuseBehind();
+		}
+		else {
+			silenceStorm();
+			this.refusal = RefusalTally.Cause.SHARE;
+			refuse(429, BEYOND_SHARE, Admission.retryMillis(this.turn));
+		}
+		return true;
+	}
+
+	private void silenceStorm() {
+		if (!this.serving.log().room(GatewayEvent.REFUSED)) {
+			this.story.silence();
+		}
+	}
+
 	private void refuseBehind() {
+		silenceStorm();
 		this.refusal = RefusalTally.Cause.BEHIND;
 		refuse(503, "the gateway is behind", BEHIND_RETRY_MILLIS);
 	}
@@ -340,20 +367,27 @@
 		return text.getBytes(StandardCharsets.UTF_8);
 	}
 
-	private void prepare() {
+	/**
+	 * Finds the service and the work, and whether it is the request's turn.
+	 */
+	private void recognise() {
 		long now = this.serving.clock().millis();
 		this.serviceName = this.route.service(this.id.hashCode());
 		this.service = this.serving.service(this.serviceName);
 		if (this.service.definition().flatMap((definition) -> definition.engine()).isPresent()) {
 			this.work = this.serving.adapter().work(this.request.headers());
 		}
-		this.deadlineAt = this.startedAt + Math.min(this.route.timeoutMillis(), callerMillis());
-		this.deadline = this.serving.loop()
-			.schedule(this::deadlinePassed, this.deadlineAt - now, TimeUnit.MILLISECONDS);
 		this.serving.retries().requested(this.serviceName, now);
 		this.turn = (this.organisation.isEmpty() || this.work.shareTokens() == 0) ? Turn.ALWAYS
 				: this.serving.shares().turn(this.organisation.hashCode(), now);
 		this.serving.shares().asked(this.organisation.hashCode(), this.work.shareTokens(), now);
+	}
+
+	private void prepare() {
+		long now = this.serving.clock().millis();
+		this.deadlineAt = this.startedAt + Math.min(this.route.timeoutMillis(), callerMillis());
+		this.deadline = this.serving.loop()
+			.schedule(this::deadlinePassed, this.deadlineAt - now, TimeUnit.MILLISECONDS);
 		this.story.add(LogLine.of(GatewayEvent.REQUEST)
 			.with("request", this.id)
 			.with("route", this.route.name())
@@ -389,11 +423,6 @@
 			return;
 		}
 		long now = this.serving.clock().millis();
-		if (this.arrivals == 0 && !this.turn.passes() && !this.service.calmWatch().worthLooking(now)) {
-			this.refusal = RefusalTally.Cause.SHARE;
-			refuse(429, BEYOND_SHARE, Admission.retryMillis(this.turn));
-			return;
-		}
 		List<Upstream> candidates = this.serving.candidates(this.service, this.tried);
 		double used = this.organisation.isEmpty() ? 0 : this.serving.shares().used(this.organisation.hashCode(), now);
 		Terms terms = new Terms(Admission.limitMillis(this.route.targetMillis(), used, remaining()), used,
@@ -766,15 +795,16 @@
 			headers.set(this.serving.adapter().headers().requestId(), this.id);
 		}
 		if (retryMillis > 0) {
-			headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", retryMillis / 1_000));
+			headers.set(HttpHeaderNames.RETRY_AFTER, seconds(retryMillis));
 		}
 		this.story.failed()
-			.add(LogLine.of(GatewayEvent.REFUSED)
+			.add(() -> LogLine.of(GatewayEvent.REFUSED)
 				.with("request", this.id)
 				.with("status", status)
 				.with("reason", reason)
 				.with("organisation", this.organisation)
 				.with("runs", this.runs)
+				.with("turn_part", this.turn.part())
 				.with("retry_after_ms", retryMillis)
 				.with("configuration_age_ms", this.serving.catalogAge()));
 		this.serving.refusals().refused(this.organisation, this.refusal);
@@ -783,6 +813,17 @@
 		finish("refused", status);
 	}
 
+	/**
+	 * Returns a time as seconds with two decimals. A format string would take a good part
+	 * of a refusal's time.
+	 * @param millis the time in milliseconds
+	 * @return the text
+	 */
+	private static String seconds(double millis) {
+		long hundredths = Math.round(millis / 10);
+		return hundredths / 100 + "." + hundredths / 10 % 10 + hundredths % 10;
+	}
+
 	private void finish(String outcome, int status) {
 		this.done = true;
 		if (this.deadline != null) {
@@ -794,7 +835,7 @@
 		long elapsed = this.serving.clock().millis() - this.startedAt;
 		this.serving.metrics().count("ebonyford_requests", labels() + ",status=\"" + status + "\"");
 		this.serving.metrics().time("ebonyford_request_ms", labels(), elapsed);
-		this.story.add(LogLine.of(GatewayEvent.FINISHED)
+		this.story.add(() -> LogLine.of(GatewayEvent.FINISHED)
 			.with("request", this.id)
 			.with("outcome", outcome)
 			.with("status", status)
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Story.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Story.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 
 import org.ebonyford.gateway.log.LogLine;
 
@@ -37,6 +38,11 @@
 	 */
 	private boolean failure;
 
+	/**
+	 * Whether nothing is told of the request.
+	 */
+	private boolean silent;
+
 	Story(Serving serving) {
 		this.serving = serving;
 	}
@@ -49,6 +55,23 @@
 		return this;
 	}
 
+	/**
+	 * Adds a line, and composes it only if it is to be written.
+	 * @param line composes the line
+	 * @return this story
+	 */
+	Story add(Supplier<LogLine> line) {
+		return this.silent ? this : add(line.get());
+	}
+
+	/**
+	 * Tells nothing of the request, as the log would drop the lines.
+	 */
+	void silence() {
+		this.silent = true;
+		this.serving.log().leftOut();
+	}
+
 	Story failed() {
 		this.failure = true;
 		return this;
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/EventLog.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/EventLog.java
@@ -23,6 +23,11 @@
 	 */
 	private static final int LINES_PER_SECOND = 100;
 
+	/**
+	 * The count of an event without lines.
+	 */
+	private static final int[] NONE_WRITTEN = { 0 };
+
 	/**
 	 * The greatest number of lines that wait to be written.
 	 */
@@ -120,6 +125,23 @@
 		}
 	}
 
+	/**
+	 * Returns whether a line on an event would be written now.
+	 * @param event the event
+	 * @return {@code false} once as many as are allowed were written in this second
+	 */
+	public boolean room(GatewayEvent event) {
+		return this.wall.millis() / SECOND_MILLIS != this.second
+				|| this.written.getOrDefault(event, NONE_WRITTEN)[0] < LINES_PER_SECOND;
+	}
+
+	/**
+	 * Counts a line that was not even composed, as there was no room for it.
+	 */
+	public void leftOut() {
+		this.dropped.incrementAndGet();
+	}
+
 	/**
 	 * Returns the number of lines that were left out.
 	 * @return the number since the start
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/log/EventLogTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/log/EventLogTest.java
@@ -14,6 +14,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 public class EventLogTest {
@@ -43,6 +44,22 @@
 		assertTrue(out.toString().contains("\"dropped\":4900"));
 	}
 
+	@Test
+	public void testLinesThatWouldBeLeftOutNeedNotBeComposed() {
+		long[] now = { 1_234 };
+		EventLog log = new EventLog("r1", () -> now[0], new PrintStream(new ByteArrayOutputStream(), true));
+		IntStream.range(0, 100).forEach((index) -> {
+			assertTrue(log.room(GatewayEvent.REFUSED));
+			log.write(LogLine.of(GatewayEvent.REFUSED));
+		});
+		assertFalse(log.room(GatewayEvent.REFUSED));
+		assertTrue(log.room(GatewayEvent.BROKEN));
+		log.leftOut();
+		assertEquals(log.dropped(), 1);
+		now[0] = 2_000;
+		assertTrue(log.room(GatewayEvent.REFUSED));
+	}
+
 	@Test
 	public void testStreamThatBlocksDelaysNobody() {
 		CountDownLatch never = new CountDownLatch(1);
