Tell the tokens of turns, of room and of turns that were lost, and how late a gateway is

The lines REFUSALS counted requests by cause: they could not tell an organisation that loses its turns after placing from one that gets no room, nor a gateway that reads late from one that reads little. They tell now the tokens that were taken by turn and from room, and those of turns that were refused all the same; SHARES tells the longest delay of the gateway's timer and its open connections. No decision is changed.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -451,7 +451,7 @@
 			.findFirst()
 			.orElseThrow();
 		if (this.arrivals == 0) {
-			this.serving.refusals().taken(this.organisation);
+			this.serving.refusals().taken(this.organisation, this.turn.passes(), this.work.shareTokens());
 			this.serving.shares().served(this.organisation.hashCode(), this.work.shareTokens(), now);
 		}
 		send(upstream, choice.get(), terms);
@@ -807,7 +807,8 @@
 				.with("turn_part", this.turn.part())
 				.with("retry_after_ms", retryMillis)
 				.with("configuration_age_ms", this.serving.catalogAge()));
-		this.serving.refusals().refused(this.organisation, this.refusal);
+		this.serving.refusals()
+			.refused(this.organisation, this.refusal, this.turn.passes() ? this.work.shareTokens() : 0);
 		this.serving.metrics().count("ebonyford_refusals", "reason=\"" + reason + "\"");
 		this.responder.respond(status, headers, new byte[0]);
 		finish("refused", status);
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/RefusalTally.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/RefusalTally.java
@@ -31,18 +31,27 @@
 	/**
 	 * Notes that a request was sent to an upstream.
 	 * @param organisation its organisation
+	 * @param turn whether its organisation's share covers it, so that it does not only
+	 * fill room that is left
+	 * @param tokens its tokens
 	 */
-	public void taken(String organisation) {
-		counts(organisation).taken++;
+	public void taken(String organisation, boolean turn, long tokens) {
+		Counts counts = counts(organisation);
+		counts.taken++;
+		counts.turnTokens += turn ? tokens : 0;
+		counts.roomTokens += turn ? 0 : tokens;
 	}
 
 	/**
 	 * Notes that a request was refused.
 	 * @param organisation its organisation, empty if it is not known
 	 * @param cause why
+	 * @param lostTokens its tokens if its organisation's share covered it, else 0
 	 */
-	public void refused(String organisation, Cause cause) {
-		counts(organisation).refused[cause.ordinal()]++;
+	public void refused(String organisation, Cause cause, long lostTokens) {
+		Counts counts = counts(organisation);
+		counts.refused[cause.ordinal()]++;
+		counts.lostTokens += lostTokens;
 	}
 
 	/**
@@ -63,7 +72,12 @@
 	}
 
 	private static LogLine line(String organisation, Counts counts) {
-		LogLine line = LogLine.of(GatewayEvent.REFUSALS).with("organisation", organisation).with("taken", counts.taken);
+		LogLine line = LogLine.of(GatewayEvent.REFUSALS)
+			.with("organisation", organisation)
+			.with("taken", counts.taken)
+			.with("turn_tokens", counts.turnTokens)
+			.with("room_tokens", counts.roomTokens)
+			.with("lost_turn_tokens", counts.lostTokens);
 		for (Cause cause : Cause.values()) {
 			line = line.with("refused_" + cause.name().toLowerCase(Locale.ROOT), counts.refused[cause.ordinal()]);
 		}
@@ -111,6 +125,21 @@
 		 */
 		private int taken;
 
+		/**
+		 * The tokens of those that their organisation's share covered.
+		 */
+		private long turnTokens;
+
+		/**
+		 * The tokens of those that filled room that was left.
+		 */
+		private long roomTokens;
+
+		/**
+		 * The tokens of requests that were refused though the share covered them.
+		 */
+		private long lostTokens;
+
 		/**
 		 * The requests that were refused, by cause.
 		 */
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -414,6 +414,7 @@
 	 */
 	private void tally(long now) {
 		List<LogLine> lines = this.refusals.drain();
+		long late = this.backlog.drainLongestDelay();
 		if (!lines.isEmpty()) {
 			OrganisationShares.Sums sums = this.shares.sums(now);
 			this.log.write(LogLine.of(GatewayEvent.SHARES)
@@ -422,7 +423,9 @@
 				.with("served_tokens", sums.served())
 				.with("organisations", sums.organisations())
 				.with("sources", sums.sources())
-				.with("sums_age_ms", sums.ageMillis()));
+				.with("sums_age_ms", sums.ageMillis())
+				.with("late_ms", late)
+				.with("connections", this.callers.size()));
 			lines.forEach(this.log::write);
 		}
 	}
--- a/ebonyford/src/main/java/org/ebonyford/lifecycle/Backlog.java
+++ b/ebonyford/src/main/java/org/ebonyford/lifecycle/Backlog.java
@@ -49,12 +49,18 @@
 	 */
 	private boolean behind;
 
+	/**
+	 * The longest delay since it was last asked for, in milliseconds.
+	 */
+	private long longestDelay;
+
 	/**
 	 * Notes that the timer runs.
 	 * @param now the time in milliseconds
 	 */
 	public void read(long now) {
 		this.lastDelay = delay(now);
+		this.longestDelay = Math.max(this.longestDelay, this.lastDelay);
 		this.behind = this.lastDelay > (this.behind ? CALM_MILLIS : BEHIND_MILLIS);
 		this.readAt = now;
 	}
@@ -79,6 +85,16 @@
 		return Math.max(this.lastDelay, delay(now)) > FAR_BEHIND_MILLIS;
 	}
 
+	/**
+	 * Returns the longest delay of a reading since the last call.
+	 * @return the delay in milliseconds
+	 */
+	public long drainLongestDelay() {
+		long longest = this.longestDelay;
+		this.longestDelay = 0;
+		return longest;
+	}
+
 	private long delay(long now) {
 		return (this.readAt < 0) ? 0 : now - this.readAt - PERIOD_MILLIS;
 	}
--- a/ebonyford/src/test/java/org/ebonyford/lifecycle/BacklogTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/lifecycle/BacklogTest.java
@@ -2,6 +2,7 @@
 
 import org.testng.annotations.Test;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -43,4 +44,13 @@
 		assertTrue(this.backlog.behind(1_210), "a turn of the event loop has taken 210 ms, and no timer has run");
 	}
 
+	@Test
+	public void testLongestDelayIsToldOnce() {
+		this.backlog.read(1_000);
+		this.backlog.read(1_300);
+		this.backlog.read(1_360);
+		assertEquals(this.backlog.drainLongestDelay(), 250);
+		assertEquals(this.backlog.drainLongestDelay(), 0);
+	}
+
 }
