--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -1,16 +1,21 @@
 package org.ebonyford.benchmark.engine;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.function.LongConsumer;
 
 import org.ebonyford.directory.ReportInterval;
 import org.ebonyford.directory.UpstreamEntry;
+import org.ebonyford.lifecycle.Backlog;
 import org.ebonyford.placement.Admission;
 import org.ebonyford.placement.CalmWatch;
 import org.ebonyford.placement.Choice;
@@ -66,6 +71,17 @@
 	 */
 	private static final double PAUSE_MILLIS = 400;
 
+	/**
+	 * The time in milliseconds after which a caller leaves whose request is not read.
+	 */
+	private static final long UNREAD_MILLIS = 1_000;
+
+	/**
+	 * The part of an engine's connections that is divided among the routers, as in the
+	 * product.
+	 */
+	private static final double CONNECTIONS_USED = 0.85;
+
 	/**
 	 * What the routers decide by.
 	 */
@@ -81,6 +97,11 @@
 	 */
 	private final RouterFaults faults;
 
+	/**
+	 * The connections that an engine accepts from all routers.
+	 */
+	private final int engineConnections;
+
 	/**
 	 * The engines.
 	 */
@@ -143,6 +164,22 @@
 	 * @param faults what befalls the routers
 	 */
 	public EngineFleet(int engineCount, int routerCount, Policy policy, double statedPerSecond, RouterFaults faults) {
+		this(engineCount, routerCount, policy, statedPerSecond, faults, Integer.MAX_VALUE);
+	}
+
+	/**
+	 * Creates a fleet that is idle and whose engines accept a number of connections.
+	 * @param engineCount the number of engines
+	 * @param routerCount the number of routers
+	 * @param policy what the routers decide by
+	 * @param statedPerSecond the tokens a second that the engines are stated to make, 0
+	 * if nothing is stated
+	 * @param faults what befalls the routers
+	 * @param engineConnections the connections that an engine accepts from all routers
+	 */
+	public EngineFleet(int engineCount, int routerCount, Policy policy, double statedPerSecond, RouterFaults faults,
+			int engineConnections) {
+		this.engineConnections = engineConnections;
 		this.faults = faults;
 		this.policy = policy;
 		this.statedPerSecond = statedPerSecond;
@@ -167,7 +204,11 @@
 			Router router = this.routers.get(index);
 			for (long at = pause * (index + 1) / this.routers.size(); at < end; at += pause) {
 				long now = at;
-				this.events.add(new Event(now, () -> report(router, now)));
+				this.events.add(new Event(now, () -> router.perform(now, (time) -> report(router, time))));
+			}
+			for (long at = 0; at < end; at += Backlog.PERIOD_MILLIS) {
+				long now = at;
+				this.events.add(new Event(now, () -> router.perform(now, router.backlog::read)));
 			}
 			int number = index;
 			this.faults.restartsAt(number)
@@ -242,34 +283,43 @@
 	private void arrive(Request request) {
 		this.asked.add(request.work().promptTokens());
 		Router router = this.routers.get(request.router() % this.routers.size());
-		Outcome outcome = outcome(request.organisation());
-		outcome.hasAsked();
-		long now = request.at();
+		outcome(request.organisation()).hasAsked();
+		router.perform(request.at(), (now) -> {
+			boolean taken = handle(request, router, now);
+			if (!taken) {
+				outcome(request.organisation()).hasRefused();
+			}
+			count(request, taken);
+			router.busyUntil = Math.max(router.busyUntil, now) + this.faults.millis(router.number, taken);
+		});
+	}
+
+	private boolean handle(Request request, Router router, long now) {
+		boolean behind = router.backlog.behind(now);
+		if (now - request.at() > UNREAD_MILLIS
+				|| (behind && (router.backlog.farBehind(now) || !router.shares.scarce(now)))) {
+			return false;
+		}
 		long tokens = request.work().shareTokens();
 		Turn turn = router.shares.turn(request.organisation(), now);
 		router.shares.asked(request.organisation(), tokens, now);
-		if (!turn.passes() && !router.calmWatch.worthLooking(now)) {
-			outcome.hasRefused();
-			count(request, false);
-			return;
+		if (!turn.passes() && (behind || !router.calmWatch.worthLooking(now))) {
+			return false;
 		}
 		double used = router.shares.used(request.organisation(), now);
 		Terms terms = new Terms(Admission.limitMillis(request.targetMillis(), used, 10_000), used, PAUSE_MILLIS,
 				router.shares.leads(request.organisation(), now), turn);
-		Optional<Choice> choice = this.policy.choose(new Policy.Scene(router.pace, request.work(),
-				router.states.values(), terms, now, (state) -> engine(state).begins(request.work(), now)));
+		Optional<Choice> choice = this.policy.choose(new Policy.Scene(router.pace, request.work(), router.usable(),
+				terms, now, (state) -> engine(state).begins(request.work(), now)));
 		boolean taken = choice.isPresent() && this.policy.takes(choice.get(), terms);
 		if (!turn.passes()) {
 			router.calmWatch.looked(taken, now);
 		}
-		if (!taken) {
-			outcome.hasRefused();
-			count(request, false);
-			return;
+		if (taken) {
+			router.shares.served(request.organisation(), tokens, now);
+			send(request, router, choice.get(), now);
 		}
-		count(request, true);
-		router.shares.served(request.organisation(), tokens, now);
-		send(request, router, choice.get(), now);
+		return taken;
 	}
 
 	private void send(Request request, Router router, Choice choice, long now) {
@@ -374,12 +424,66 @@
 		 */
 		private final Map<String, UpstreamState> states = new HashMap<>();
 
+		/**
+		 * Whether the router reads requests late.
+		 */
+		private final Backlog backlog = new Backlog();
+
+		/**
+		 * What the router has to do, in the order in which it came.
+		 */
+		private final Deque<LongConsumer> tasks = new ArrayDeque<>();
+
+		/**
+		 * Until when the router does something else, in milliseconds.
+		 */
+		private double busyUntil;
+
 		Router(int number) {
 			this.number = number;
 			this.name = "router-" + number;
 			restart();
 		}
 
+		/**
+		 * Does something as soon as all is done that came before.
+		 * @param now the time in milliseconds
+		 * @param task takes the time at which it is done
+		 */
+		void perform(long now, LongConsumer task) {
+			if (this.tasks.isEmpty() && this.busyUntil <= now) {
+				task.accept(now);
+				return;
+			}
+			this.tasks.addLast(task);
+			if (this.tasks.size() == 1) {
+				continueLater();
+			}
+		}
+
+		private void continueLater() {
+			long at = (long) Math.ceil(this.busyUntil);
+			EngineFleet.this.events.add(new Event(at, () -> {
+				while (!this.tasks.isEmpty() && this.busyUntil <= at) {
+					this.tasks.peekFirst().accept(at);
+					this.tasks.removeFirst();
+				}
+				if (!this.tasks.isEmpty()) {
+					continueLater();
+				}
+			}));
+		}
+
+		/**
+		 * Returns the engines to which the router may make or has another connection.
+		 * @return the engines
+		 */
+		Collection<UpstreamState> usable() {
+			int limit = (int) Math
+				.max(EngineFleet.this.engineConnections * CONNECTIONS_USED / EngineFleet.this.routers.size(), 1);
+			return this.states.values().stream().filter((state) -> state.own().running() < limit).toList();
+		}
+
 		/**
 		 * Begins anew, without anything that was known.
 		 */
--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Request.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/Request.java
@@ -1,6 +1,7 @@
 package org.ebonyford.benchmark.engine;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
 
@@ -66,6 +67,27 @@
 		return load;
 	}
 
+	/**
+	 * Draws requests of organisations whose callers each come to one router: those of the
+	 * first one to the first router, and so on.
+	 * @param seed the seed
+	 * @param millis the length of the load in milliseconds
+	 * @param perSecond the mean number of requests a second of each organisation
+	 * @param subjects the number of subjects
+	 * @return the requests in the order of their arrival
+	 */
+	public static List<Request> drawByOrganisation(long seed, long millis, double[] perSecond, int subjects) {
+		List<Request> load = new ArrayList<>();
+		for (int index = 0; index < perSecond.length; index++) {
+			int router = index;
+			draw(seed * perSecond.length + index, millis, perSecond[index], new int[] { index + 1 }, subjects)
+				.forEach((request) -> load
+					.add(new Request(request.at, router, request.organisation, request.work, request.targetMillis)));
+		}
+		load.sort(Comparator.comparingLong(Request::at));
+		return load;
+	}
+
 	private static Request draw(Random random, long at, int own, int[] organisations, int subjects) {
 		int subject = random.nextInt(subjects);
 		Work work = Work.of(List.of(new PromptPart(subject % 3, 500), new PromptPart(100 + subject, 4_900),
--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/RouterFaults.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/RouterFaults.java
@@ -30,4 +30,14 @@
 		return List.of();
 	}
 
+	/**
+	 * Returns for how long a request keeps a router from anything else.
+	 * @param router the number of the router
+	 * @param sent whether the request is sent to an engine
+	 * @return the time in milliseconds
+	 */
+	default double millis(int router, boolean sent) {
+		return 0;
+	}
+
 }
