Add up by data centre what all gateways do

What callers saw: at 61 to 95 gateways engines are left idle while requests are refused, and organisations get less than half of others. Cause: each gateway reports to every other, so the pause grows with their number: sums are 1.2 to 1.4 s old at 61 gateways, 1.6 s at 86 and 6.8 s at 340. The level that divides the shares follows what is served 10 in 100 a report, and gateways act alike on the same old sums. Change: each gateway tells its own to one of its data centre, which all choose alike, and is answered at once with what all others do; these tell each other the totals of their data centres. Messages grow with the number of gateways, none is counted twice, a silent collector is passed over, and totals that leave out more than a tenth of the gateways heard are not used. The reports to all stay, for who lives and as the fallback. Up to 39 gateways reports are as young, and nothing changes.

--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -28,6 +28,9 @@
 import org.ebonyford.share.OrganisationShares;
 import org.ebonyford.share.Turn;
 import org.ebonyford.share.Usage;
+import org.ebonyford.total.Totals;
+import org.ebonyford.total.TotalsExchange;
+import org.ebonyford.total.TotalsInterval;
 
 /**
  * Plays a load on a model of engines and routers in simulated time: an engine reads one
@@ -77,6 +80,32 @@
 	 */
 	private static final long UNREAD_MILLIS = 1_000;
 
+	/**
+	 * The time in milliseconds between two looks at what is to be sent to other routers.
+	 */
+	private static final int TICK_MILLIS = 100;
+
+	/**
+	 * The time in milliseconds by which routers differ that were started one after the
+	 * other, so that they do not look together.
+	 */
+	private static final int STAGGER_MILLIS = 61;
+
+	/**
+	 * The time in milliseconds that a message between routers takes.
+	 */
+	private static final long WIRE_MILLIS = 2;
+
+	/**
+	 * The number of data centres.
+	 */
+	private static final int DATA_CENTRES = 7;
+
+	/**
+	 * What the name of a router begins with.
+	 */
+	private static final String PREFIX = "router-";
+
 	/**
 	 * What the routers decide by.
 	 */
@@ -201,6 +230,10 @@
 				long now = at;
 				this.events.add(new Event(now, () -> router.perform(now, (time) -> report(router, time))));
 			}
+			for (long at = index * STAGGER_MILLIS % (2 * TICK_MILLIS); at < end; at += TICK_MILLIS) {
+				long now = at;
+				this.events.add(new Event(now, () -> router.perform(now, (time) -> exchange(router, time))));
+			}
 			for (long at = 0; at < end; at += Backlog.PERIOD_MILLIS) {
 				long now = at;
 				this.events.add(new Event(now, () -> router.perform(now, router.backlog::read)));
@@ -349,12 +382,33 @@
 		Map<Integer, Usage> usage = sender.shares.own(40, now);
 		for (Router receiver : this.routers) {
 			if (receiver != sender && this.faults.hears(receiver.number, sender.number, now)) {
+				receiver.heardAt.put(sender.name, now);
 				receiver.shares.peer(sender.name, usage, now);
 				receiver.states.forEach((name, state) -> state.peer(sender.name, sender.states.get(name).own(), now));
 			}
 		}
 	}
 
+	private void exchange(Router router, long now) {
+		if (TotalsInterval.worthIt(this.routers.size())) {
+			carry(router, router.exchange.tick(router.heard(now), router.totals(now), now), now);
+		}
+	}
+
+	private void carry(Router sender, TotalsExchange.Round round, long now) {
+		round.others().ifPresent((others) -> sender.others(others, now));
+		round.envelopes().forEach((envelope) -> {
+			Router receiver = this.routers.get(Integer.parseInt(envelope.receiver().substring(PREFIX.length())));
+			if (this.faults.hears(receiver.number, sender.number, now)) {
+				long at = now + WIRE_MILLIS;
+				this.events.add(new Event(at, () -> receiver.perform(at, (time) -> {
+					receiver.heardAt.put(sender.name, time);
+					carry(receiver, receiver.exchange.received(envelope.message(), time), time);
+				})));
+			}
+		});
+	}
+
 	/**
 	 * What an organisation asked for and got in a second.
 	 *
@@ -419,6 +473,16 @@
 		 */
 		private final Map<String, UpstreamState> states = new HashMap<>();
 
+		/**
+		 * The router's part in adding up what all do.
+		 */
+		private TotalsExchange exchange;
+
+		/**
+		 * When the other routers were heard, in milliseconds.
+		 */
+		private final Map<String, Long> heardAt = new HashMap<>();
+
 		/**
 		 * Whether the router reads requests late.
 		 */
@@ -436,10 +500,54 @@
 
 		Router(int number) {
 			this.number = number;
-			this.name = "router-" + number;
+			this.name = PREFIX + number;
 			restart();
 		}
 
+		/**
+		 * Returns the other routers that were heard lately.
+		 * @param now the time in milliseconds
+		 * @return their names by data centre
+		 */
+		Map<String, List<String>> heard(long now) {
+			long lately = ReportInterval.validMillis(EngineFleet.this.routers.size());
+			Map<String, List<String>> heard = new HashMap<>();
+			this.heardAt.forEach((peer, at) -> {
+				if (now - at <= lately) {
+					String dataCentre = dataCentre(Integer.parseInt(peer.substring(PREFIX.length())));
+					heard.computeIfAbsent(dataCentre, (key) -> new ArrayList<>()).add(peer);
+				}
+			});
+			return heard;
+		}
+
+		private static String dataCentre(int number) {
+			return "dc-" + number % DATA_CENTRES;
+		}
+
+		Totals totals(long now) {
+			Map<Integer, Load> loads = new HashMap<>();
+			this.states.values().forEach((state) -> loads.put(state.shortHash(), state.own()));
+			return new Totals(1, now, loads, this.shares.own(40, now));
+		}
+
+		/**
+		 * Takes the totals of all others, unless the reports cover more of them.
+		 * @param others the totals
+		 * @param now the time in milliseconds
+		 */
+		void others(Totals others, long now) {
+			int routers = EngineFleet.this.routers.size();
+			long lately = ReportInterval.millis(routers) * 5 / 4;
+			int heard = (int) this.heardAt.values().stream().filter((at) -> now - at <= lately).count();
+			if (others.covers(heard)) {
+				long until = now + TotalsInterval.validMillis(routers / DATA_CENTRES);
+				this.shares.others(others.usages(), others.measuredAt(), until);
+				this.states.values()
+					.forEach((state) -> state.others(others.loads().getOrDefault(state.shortHash(), Load.NONE), until));
+			}
+		}
+
 		/**
 		 * Does something as soon as all is done that came before.
 		 * @param now the time in milliseconds
@@ -492,6 +600,7 @@
 		void restart() {
 			this.pace = new ServicePace();
 			this.calmWatch = new CalmWatch();
+			this.exchange = new TotalsExchange(this.name, dataCentre(this.number));
 			this.shares = new OrganisationShares(4_000, () -> EngineFleet.this.statedPerSecond,
 					EngineFleet.this.routers::size, this.number + 1);
 			for (Engine engine : EngineFleet.this.engines) {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/peer/PeerExchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/peer/PeerExchange.java
@@ -14,10 +14,12 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 
 import org.ebonyford.gateway.suspect.CrashNews;
+import org.ebonyford.total.TotalsMessage;
 
 /**
- * Sends and receives reports and news of crashes as datagrams. A report that is lost is
- * replaced by the next one, and news are in the store as well, so none is repeated.
+ * Sends and receives reports, totals and news of crashes as datagrams. A report that is
+ * lost is replaced by the next one, and news are in the store as well, so none is
+ * repeated.
  */
 public final class PeerExchange extends SimpleChannelInboundHandler<DatagramPacket> {
 
@@ -26,6 +28,11 @@
 	 */
 	private final Consumer<PeerReport> receiver;
 
+	/**
+	 * Takes the messages on totals that arrive.
+	 */
+	private final Consumer<TotalsMessage> totals;
+
 	/**
 	 * Takes the news of crashes that arrive.
 	 */
@@ -39,10 +46,12 @@
 	/**
 	 * Creates an exchange that is not open.
 	 * @param receiver takes the reports that arrive
+	 * @param totals takes the messages on totals that arrive
 	 * @param crashes takes the news of crashes that arrive
 	 */
-	public PeerExchange(Consumer<PeerReport> receiver, Consumer<CrashNews> crashes) {
+	public PeerExchange(Consumer<PeerReport> receiver, Consumer<TotalsMessage> totals, Consumer<CrashNews> crashes) {
 		this.receiver = receiver;
+		this.totals = totals;
 		this.crashes = crashes;
 	}
 
@@ -63,8 +72,8 @@
 	}
 
 	/**
-	 * Sends a report or news.
-	 * @param bytes the encoded report or news
+	 * Sends a report, totals or news.
+	 * @param bytes what is encoded
 	 * @param peer the address of the peer
 	 */
 	public void send(byte[] bytes, InetSocketAddress peer) {
@@ -74,7 +83,9 @@
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
 		byte[] bytes = ByteBufUtil.getBytes(packet.content());
-		PeerReport.decode(bytes).ifPresentOrElse(this.receiver, () -> CrashNews.decode(bytes).ifPresent(this.crashes));
+		PeerReport.decode(bytes)
+			.ifPresentOrElse(this.receiver, () -> TotalsCodec.decode(bytes)
+				.ifPresentOrElse(this.totals, () -> CrashNews.decode(bytes).ifPresent(this.crashes)));
 	}
 
 	@Override
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
@@ -13,6 +13,7 @@
 import java.util.function.LongSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.EventExecutor;
@@ -27,6 +28,7 @@
 import org.ebonyford.gateway.log.LogLine;
 import org.ebonyford.gateway.peer.PeerExchange;
 import org.ebonyford.gateway.peer.PeerReport;
+import org.ebonyford.gateway.peer.TotalsCodec;
 import org.ebonyford.gateway.store.MetadataStore;
 import org.ebonyford.gateway.store.StoreBatch;
 import org.ebonyford.gateway.store.StoreRecord;
@@ -37,6 +39,10 @@
 import org.ebonyford.placement.UpstreamState;
 import org.ebonyford.share.OrganisationShares;
 import org.ebonyford.time.Clock;
+import org.ebonyford.total.Totals;
+import org.ebonyford.total.TotalsExchange;
+import org.ebonyford.total.TotalsInterval;
+import org.ebonyford.total.TotalsMessage;
 
 /**
  * What a gateway has to do with the others: it announces itself in the store, finds them
@@ -117,6 +123,11 @@
 	 */
 	private final Map<String, long[]> ages = new HashMap<>();
 
+	/**
+	 * This gateway's part in adding up what all do.
+	 */
+	private TotalsExchange totals;
+
 	/**
 	 * The other gateways.
 	 */
@@ -145,7 +156,8 @@
 	Peering(Clock clock, String dataCentre, EventLog log, Beliefs beliefs, OrganisationShares shares,
 			LongSupplier catalogAge, Clock wall, Executor loop) {
 		this.suspects = new SuspectRequests(clock, wall, log, loop, this);
-		this.reports = new PeerExchange(this::reported, this.suspects::told);
+		this.reports = new PeerExchange(this::reported, this::totals, this.suspects::told);
+		this.totals = new TotalsExchange("", dataCentre);
 		this.clock = clock;
 		this.dataCentre = dataCentre;
 		this.log = log;
@@ -158,6 +170,7 @@
 		InetSocketAddress bound = this.reports.open(group, address);
 		String self = bound.getAddress().getHostAddress() + ":" + bound.getPort();
 		this.roster = new RouterRoster(self);
+		this.totals = new TotalsExchange(self, this.dataCentre);
 		this.names = List.of(self);
 		return bound;
 	}
@@ -279,11 +292,14 @@
 	}
 
 	/**
-	 * Sends a report if it is time.
+	 * Sends totals and a report if it is time.
 	 */
 	void tick() {
 		renewNames();
 		long now = this.clock.millis();
+		if (TotalsInterval.worthIt(this.names.size())) {
+			carry(this.totals.tick(heardLately(now), ownTotals(now), now), now);
+		}
 		if (now - this.reportedAt < ReportInterval.millis(this.names.size())) {
 			return;
 		}
@@ -292,7 +308,62 @@
 		this.roster.peers(now).forEach((peer) -> send(bytes, peer));
 	}
 
-	private byte[] report() {
+	private Map<String, List<String>> heardLately(long now) {
+		long lately = ReportInterval.validMillis(this.names.size());
+		return this.roster.peers(now)
+			.stream()
+			.filter((peer) -> now - peer.heardAt() <= lately)
+			.collect(Collectors.groupingBy(RouterRoster.Member::dataCentre,
+					Collectors.mapping(RouterRoster.Member::name, Collectors.toList())));
+	}
+
+	private Totals ownTotals(long now) {
+		return new Totals(1, now, ownLoads(), this.shares.own(PeerReport.GREATEST_USAGES, now));
+	}
+
+	private void totals(TotalsMessage message) {
+		long now = this.clock.millis();
+		this.roster.heard(message.sender(), now);
+		carry(this.totals.received(message, now), now);
+	}
+
+	private void carry(TotalsExchange.Round round, long now) {
+		round.others().ifPresent((others) -> use(others, now));
+		if (round.envelopes().isEmpty()) {
+			return;
+		}
+		Map<String, RouterRoster.Member> members = new HashMap<>();
+		this.roster.peers(now).forEach((peer) -> members.put(peer.name(), peer));
+		round.envelopes().forEach((envelope) -> {
+			RouterRoster.Member receiver = members.get(envelope.receiver());
+			if (receiver != null) {
+				send(TotalsCodec.encode(envelope.message()), receiver);
+			}
+		});
+	}
+
+	/**
+	 * Takes what all other gateways do, unless their own reports cover more of them.
+	 * @param others the totals
+	 * @param now the time in milliseconds
+	 */
+	private void use(Totals others, long now) {
+		List<RouterRoster.Member> peers = this.roster.peers(now);
+		long lately = ReportInterval.millis(this.names.size()) * 5 / 4;
+		int heard = (int) peers.stream().filter((peer) -> now - peer.heardAt() <= lately).count();
+		if (!others.covers(heard)) {
+			return;
+		}
+		int neighbours = (int) peers.stream().filter((peer) -> peer.dataCentre().equals(this.dataCentre)).count() + 1;
+		long until = now + TotalsInterval.validMillis(neighbours);
+		this.shares.others(others.usages(), others.measuredAt(), until);
+		this.beliefs.upstreams()
+			.stream()
+			.map(Upstream::state)
+			.forEach((state) -> state.others(others.loads().getOrDefault(state.shortHash(), Load.NONE), until));
+	}
+
+	private Map<Integer, Load> ownLoads() {
 		Map<Integer, Load> loads = new HashMap<>();
 		this.beliefs.upstreams()
 			.stream()
@@ -301,6 +372,11 @@
 			.sorted(Comparator.comparingInt((UpstreamState state) -> state.own().running()).reversed())
 			.limit(PeerReport.GREATEST_LOADS)
 			.forEach((state) -> loads.put(state.shortHash(), state.own()));
+		return loads;
+	}
+
+	private byte[] report() {
+		Map<Integer, Load> loads = ownLoads();
 		return new PeerReport(self(), (int) Math.min(this.catalogAge.getAsLong(), Integer.MAX_VALUE), loads,
 				this.shares.own(PeerReport.GREATEST_USAGES, this.clock.millis()))
 			.encode();
--- a/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
@@ -97,6 +97,16 @@
 	 */
 	private long peersUntil = Long.MAX_VALUE;
 
+	/**
+	 * The load from all other routers together.
+	 */
+	private Load others = Load.NONE;
+
+	/**
+	 * Until when that counts instead of the peers' reports, in milliseconds.
+	 */
+	private long othersUntil = Long.MIN_VALUE;
+
 	/**
 	 * The load from this router.
 	 */
@@ -250,12 +260,26 @@
 		this.peersUntil = Math.min(this.peersUntil, until);
 	}
 
+	/**
+	 * Notes the load from all other routers together, which counts instead of their
+	 * reports.
+	 * @param load the load
+	 * @param until until when it counts, in milliseconds
+	 */
+	public void others(Load load, long until) {
+		this.others = load;
+		this.othersUntil = until;
+	}
+
 	/**
 	 * Returns the load from all routers.
 	 * @param now the time in milliseconds
 	 * @return the sum of what is known
 	 */
 	public Load total(long now) {
+		if (now <= this.othersUntil) {
+			return this.own.plus(this.others);
+		}
 		if (now > this.peersUntil) {
 			expirePeers(now);
 		}
--- a/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
+++ b/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.DoubleSupplier;
 import java.util.function.IntSupplier;
@@ -87,6 +89,16 @@
 	 */
 	private final Map<String, PeerUsage> peers = new HashMap<>();
 
+	/**
+	 * What all other routers together saw, empty if only their reports are known.
+	 */
+	private Optional<PeerUsage> others = Optional.empty();
+
+	/**
+	 * Until when that counts, in milliseconds.
+	 */
+	private long othersUntil;
+
 	/**
 	 * The usage of all routers by the hash of the organisation, as of the last
 	 * computation.
@@ -111,7 +123,7 @@
 	private double leastRefused = Double.POSITIVE_INFINITY;
 
 	/**
-	 * When the oldest report that counts arrived, in milliseconds.
+	 * When the oldest report that counts was measured, in milliseconds.
 	 */
 	private long oldestAt = Long.MAX_VALUE;
 
@@ -169,6 +181,17 @@
 		this.peers.put(peer, new PeerUsage(usage, now));
 	}
 
+	/**
+	 * Notes what all other routers together saw, which counts instead of their reports.
+	 * @param usage the usage by the hash of the organisation
+	 * @param measuredAt when the oldest part of it was measured, in milliseconds
+	 * @param until until when it counts, in milliseconds
+	 */
+	public void others(Map<Integer, Usage> usage, long measuredAt, long until) {
+		this.others = Optional.of(new PeerUsage(usage, measuredAt));
+		this.othersUntil = until;
+	}
+
 	/**
 	 * Returns the organisations that asked most of this router.
 	 * @param most the greatest number of organisations
@@ -282,10 +305,11 @@
 		Map<Integer, Usage> sums = new HashMap<>();
 		this.own.forEach((organisation, counts) -> sums.put(organisation, counts.usage(now)));
 		long valid = ReportInterval.validMillis(this.routers.getAsInt());
-		this.peers.values().removeIf((peer) -> now - peer.receivedAt() > valid);
-		this.peers.values()
-			.forEach((peer) -> peer.usage().forEach((key, usage) -> sums.merge(key, usage, Usage::plus)));
-		this.oldestAt = this.peers.values().stream().mapToLong(PeerUsage::receivedAt).min().orElse(Long.MAX_VALUE);
+		this.peers.values().removeIf((peer) -> now - peer.measuredAt() > valid);
+		this.others = this.others.filter((usage) -> now <= this.othersUntil);
+		Collection<PeerUsage> counted = this.others.<Collection<PeerUsage>>map(List::of).orElse(this.peers.values());
+		counted.forEach((peer) -> peer.usage().forEach((key, usage) -> sums.merge(key, usage, Usage::plus)));
+		this.oldestAt = counted.stream().mapToLong(PeerUsage::measuredAt).min().orElse(Long.MAX_VALUE);
 		double asked = sums.values().stream().mapToLong(Usage::asked).sum();
 		double served = sums.values().stream().mapToLong(Usage::served).sum();
 		double[] demands = sums.values().stream().mapToDouble(Usage::asked).toArray();
@@ -351,12 +375,12 @@
 	}
 
 	/**
-	 * What a peer reported.
+	 * What peers reported.
 	 *
 	 * @param usage the usage by the hash of the organisation
-	 * @param receivedAt when the report arrived, in milliseconds
+	 * @param measuredAt when it was measured, in milliseconds
 	 */
-	private record PeerUsage(Map<Integer, Usage> usage, long receivedAt) {
+	private record PeerUsage(Map<Integer, Usage> usage, long measuredAt) {
 	}
 
 	/**
--- a/ebonyford/src/main/java/org/ebonyford/share/Usage.java
+++ b/ebonyford/src/main/java/org/ebonyford/share/Usage.java
@@ -31,4 +31,14 @@
 				this.recentlyServed + other.recentlyServed);
 	}
 
+	/**
+	 * Subtracts a usage.
+	 * @param other the other usage
+	 * @return the differences
+	 */
+	public Usage minus(Usage other) {
+		return new Usage(this.asked - other.asked, this.served - other.served, this.recentlyAsked - other.recentlyAsked,
+				this.recentlyServed - other.recentlyServed);
+	}
+
 }
--- /dev/null
+++ b/ebonyford/src/test/java/org/ebonyford/total/TotalsExchangeTest.java
@@ -0,0 +1,156 @@
+package org.ebonyford.total;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import org.ebonyford.placement.Load;
+import org.ebonyford.share.Usage;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Plays the exchange of all routers of a fleet without a network. Each router has put one
+ * request on the same upstream.
+ */
+public class TotalsExchangeTest {
+
+	private static final long TICK = 100;
+
+	private final List<TotalsExchange> routers = new ArrayList<>();
+
+	private final Map<Integer, Totals> known = new HashMap<>();
+
+	private final Set<Integer> silent = new TreeSet<>();
+
+	private int dataCentres;
+
+	private long now;
+
+	private int messages;
+
+	@DataProvider
+	public Object[][] sizes() {
+		return IntStream.of(8, 61, 95, 340).mapToObj((size) -> new Object[] { size }).toArray(Object[][]::new);
+	}
+
+	@Test(dataProvider = "sizes")
+	public void testEveryRouterKnowsAllOthersOnceWithinASecond(int size) {
+		start(size);
+		play(1_400);
+		for (int router = 0; router < size; router++) {
+			Totals others = this.known.get(router);
+			assertEquals(others.sources(), size - 1, "router " + router);
+			assertEquals(others.loads().get(1).running(), size - 1, "router " + router);
+			assertTrue(this.now - others.measuredAt() <= 1_000, "age " + (this.now - others.measuredAt()));
+		}
+	}
+
+	@Test(dataProvider = "sizes")
+	public void testMessagesGrowWithTheNumberOfRouters(int size) {
+		start(size);
+		play(1_000);
+		this.messages = 0;
+		play(1_000);
+		assertTrue(this.messages < size * 10 + this.dataCentres * this.dataCentres * 12,
+				this.messages + " messages a second");
+	}
+
+	@Test
+	public void testAnotherCollectorIsChosenWhereOneFallsSilent() {
+		start(61);
+		play(1_000);
+		IntStream.range(0, 61).filter(this::collects).forEach(this.silent::add);
+		assertEquals(this.silent.size(), this.dataCentres);
+		play(4_000);
+		for (int router = 0; router < 61; router++) {
+			if (!this.silent.contains(router)) {
+				Totals others = this.known.get(router);
+				assertEquals(others.sources(), 61 - 1 - this.dataCentres, "router " + router);
+				assertTrue(this.now - others.measuredAt() <= 1_000, "age " + (this.now - others.measuredAt()));
+			}
+		}
+	}
+
+	@Test
+	public void testTotalsThatLeaveOutManyRoutersAreNotUsed() {
+		assertTrue(new Totals(55, 0, Map.of(), Map.of()).covers(60));
+		assertFalse(new Totals(45, 0, Map.of(), Map.of()).covers(60));
+	}
+
+	@Test
+	public void testWhatIsLeftOutLeavesNothingBehind() {
+		Totals one = new Totals(1, 5, Map.of(1, new Load(2, 3, 4)), Map.of(1, new Usage(1, 2, 3, 4)));
+		Totals both = one.plus(new Totals(1, 7, Map.of(2, new Load(1, 1, 1)), Map.of()));
+		assertEquals(both.minus(one).loads(), Map.of(2, new Load(1, 1, 1)));
+		assertEquals(both.minus(one).usages(), Map.of());
+	}
+
+	private void start(int size) {
+		this.routers.clear();
+		this.known.clear();
+		this.silent.clear();
+		this.now = 0;
+		this.dataCentres = (size > 100) ? 7 : 4;
+		for (int router = 0; router < size; router++) {
+			this.routers.add(new TotalsExchange("r" + router, dataCentre(router)));
+		}
+	}
+
+	private boolean collects(int router) {
+		return this.routers.get(router).tick(heard(router), own(), this.now).others().isPresent();
+	}
+
+	private void play(long millis) {
+		for (long end = this.now + millis; this.now < end; this.now += TICK) {
+			for (int router = 0; router < this.routers.size(); router++) {
+				if (!this.silent.contains(router)) {
+					carry(router, this.routers.get(router).tick(heard(router), own(), this.now));
+				}
+			}
+		}
+	}
+
+	private void carry(int sender, TotalsExchange.Round round) {
+		take(sender, round.others());
+		for (TotalsExchange.Envelope envelope : round.envelopes()) {
+			this.messages++;
+			int receiver = Integer.parseInt(envelope.receiver().substring(1));
+			if (!this.silent.contains(receiver)) {
+				carry(receiver, this.routers.get(receiver).received(envelope.message(), this.now));
+			}
+		}
+	}
+
+	private void take(int router, Optional<Totals> others) {
+		others.ifPresent((totals) -> this.known.put(router, totals));
+	}
+
+	private Totals own() {
+		return new Totals(1, this.now, Map.of(1, new Load(1, 10, 10)), Map.of(1, new Usage(4, 3, 2, 1)));
+	}
+
+	private Map<String, List<String>> heard(int self) {
+		Map<String, List<String>> heard = new HashMap<>();
+		IntStream.range(0, this.routers.size())
+			.filter((router) -> router != self)
+			.forEach((router) -> heard.computeIfAbsent(dataCentre(router), (key) -> new ArrayList<>())
+				.add("r" + router));
+		return heard;
+	}
+
+	private String dataCentre(int router) {
+		return "dc" + router % this.dataCentres;
+	}
+
+}
