Keep a turn that no engine takes, and count room against the organisation that finds it

What callers saw: half of what others got, though the share let the same part of their requests through. Cause: a turn was spent when it was given, not when an engine took it, and what calm engines took without a turn counted for nobody. Who was within what is let through, but beyond the stated rate, was refused like the others. Change: an organisation earns tokens with what it asks and pays with what is sent; what is earned stays for a quarter of a second. Who asks for no more than the level is within its share.

--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -329,7 +329,7 @@
 			return false;
 		}
 		long tokens = request.work().shareTokens();
-		Turn turn = router.shares.turn(request.organisation(), now);
+		Turn turn = router.shares.turn(request.organisation(), tokens, now);
 		router.shares.asked(request.organisation(), tokens, now);
 		if (!turn.passes() && (behind || !router.calmWatch.worthLooking(now))) {
 			return false;
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -379,7 +379,7 @@
 		}
 		this.serving.retries().requested(this.serviceName, now);
 		this.turn = (this.organisation.isEmpty() || this.work.shareTokens() == 0) ? Turn.ALWAYS
-				: this.serving.shares().turn(this.organisation.hashCode(), now);
+				: this.serving.shares().turn(this.organisation.hashCode(), this.work.shareTokens(), now);
 		this.serving.shares().asked(this.organisation.hashCode(), this.work.shareTokens(), now);
 	}
 
--- a/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
+++ b/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
@@ -59,6 +59,13 @@
 	 */
 	private static final double GROWTH = 1.1;
 
+	/**
+	 * The time in milliseconds for which an organisation keeps what it earned while no
+	 * engine takes its requests. Much longer, and the requests that come next, most of
+	 * them short, get the turns of long ones.
+	 */
+	private static final double MADE_UP_MILLIS = 250;
+
 	/**
 	 * The length of the window in milliseconds.
 	 */
@@ -169,6 +176,7 @@
 		Counts counts = counts(organisation);
 		counts.served.add(tokens, now);
 		counts.recentlyServed.add(tokens, now);
+		counts.pay(tokens, now);
 	}
 
 	/**
@@ -210,7 +218,9 @@
 	}
 
 	/**
-	 * Returns the part of its fair share that an organisation has used.
+	 * Returns the part of its fair share that an organisation has used. Where requests
+	 * are refused for the sake of shares, whoever asks for no more than what is let
+	 * through of each is within its share.
 	 * @param organisation the hash of the organisation
 	 * @param now the time in milliseconds
 	 * @return the part, {@link #ENOUGH} while there is enough for everyone
@@ -220,7 +230,9 @@
 		if (Double.isInfinite(this.level)) {
 			return ENOUGH;
 		}
-		return this.totals.getOrDefault(organisation, Usage.NONE).served() / this.level;
+		Usage usage = this.totals.getOrDefault(organisation, Usage.NONE);
+		boolean covered = scarce(now) && demand(usage) <= this.turnLevel;
+		return usage.served() / (covered ? Math.max(this.level, this.turnLevel) : this.level);
 	}
 
 	/**
@@ -258,22 +270,25 @@
 	}
 
 	/**
-	 * Decides whether a request is one of those that are let through to the engines. Of
-	 * each organisation such a part is that all get the same, however often they ask: the
-	 * level divided by what the organisation asks of all routers. The requests are taken
-	 * evenly, whatever their size, and one that no engine takes is not made up for.
+	 * Decides whether a request is one of those that are let through to the engines. Each
+	 * organisation earns such a part of the tokens that it asks for that all get the
+	 * same, however often they ask: the level divided by what the organisation asks of
+	 * all routers. What is sent is paid from that, so a turn that no engine takes is not
+	 * lost, and what found room without a turn counts, too.
 	 * @param organisation the hash of the organisation
+	 * @param tokens the tokens of the request
 	 * @param now the time in milliseconds
 	 * @return the turn of the request
 	 */
-	public Turn turn(int organisation, long now) {
+	public Turn turn(int organisation, long tokens, long now) {
 		renew(now);
 		double demand = demand(this.totals.getOrDefault(organisation, Usage.NONE));
 		if (demand <= this.turnLevel) {
+			counts(organisation).limited = false;
 			return Turn.ALWAYS;
 		}
 		double part = this.turnLevel / demand;
-		return new Turn(counts(organisation).passes(part), part);
+		return new Turn(counts(organisation).earn(part, tokens, now), part);
 	}
 
 	/**
@@ -409,25 +424,72 @@
 		private final SlidingCount recentlyServed;
 
 		/**
-		 * The sum of the parts of its requests that are let through, less those that
-		 * were. Routers begin with different ones, so that they do not all let their
-		 * first request through.
+		 * The tokens that were earned and not paid for what was sent.
+		 */
+		private double credit = Double.NaN;
+
+		/**
+		 * The part of what is asked for that was earned last.
+		 */
+		private double part = 1;
+
+		/**
+		 * Whether the organisation asks for more than its share, so that it has to earn
+		 * what it gets.
 		 */
-		private double credit;
+		private boolean limited;
 
-		Counts(long windowMillis, double credit) {
+		/**
+		 * Draws with which of its requests a router begins to let the organisation
+		 * through, so that routers do not all begin with the first.
+		 */
+		private final double first;
+
+		Counts(long windowMillis, double first) {
 			this.asked = new SlidingCount(windowMillis, STEP_MILLIS);
 			this.served = new SlidingCount(windowMillis, STEP_MILLIS);
 			this.recentlyAsked = new SlidingCount(Usage.RECENT_MILLIS, STEP_MILLIS);
 			this.recentlyServed = new SlidingCount(Usage.RECENT_MILLIS, STEP_MILLIS);
-			this.credit = credit;
+			this.first = first;
+		}
+
+		/**
+		 * Earns a part of a request.
+		 * @param earned the part
+		 * @param tokens the tokens of the request
+		 * @param now the time in milliseconds
+		 * @return whether it is the request's turn
+		 */
+		boolean earn(double earned, long tokens, long now) {
+			if (Double.isNaN(this.credit)) {
+				this.credit = -this.first * tokens;
+			}
+			this.part = earned;
+			this.limited = true;
+			this.credit = Math.min(this.credit + earned * tokens, Math.max(owed(now), earned * tokens));
+			return this.credit > 0;
 		}
 
-		boolean passes(double part) {
-			this.credit += part;
-			boolean passes = this.credit >= 1;
-			this.credit -= passes ? 1 : 0;
-			return passes;
+		/**
+		 * Pays for a request that is sent. What finds room without a turn is paid up to a
+		 * bound only: while there is room for long, it is nobody's share.
+		 * @param tokens the tokens of the request
+		 * @param now the time in milliseconds
+		 */
+		void pay(long tokens, long now) {
+			if (this.limited) {
+				this.credit = (this.credit > 0) ? this.credit - tokens
+						: Math.max(this.credit - tokens, Math.min(this.credit, -owed(now)));
+			}
+		}
+
+		/**
+		 * Returns up to which tokens turns that no engine takes are made up for.
+		 * @param now the time in milliseconds
+		 * @return the tokens
+		 */
+		private double owed(long now) {
+			return this.part * this.recentlyAsked.sum(now) * MADE_UP_MILLIS / Usage.RECENT_MILLIS;
 		}
 
 		Usage usage(long now) {
