Let an odd record of another writer cost nothing but itself

What callers would see: a gateway that never learns of new upstreams, stays ready and logs nothing, as it no longer follows the list (LOST, refusals). Unreadable announcements are logged.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Beliefs.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Beliefs.java
@@ -150,7 +150,7 @@
 	void operatorNewest(StoreBatch batch) {
 		Set<String> before = new HashSet<>(this.evacuated);
 		batch.records().forEach((record) -> {
-			this.adapter.operatorRecord(record.key(), record.value()).ifPresent((read) -> {
+			read(record).ifPresent((read) -> {
 				if (read instanceof OperatorRecord.ForEvacuation evacuation) {
 					before.remove(evacuation.dataCentre());
 				}
@@ -161,7 +161,7 @@
 	}
 
 	void operatorRecord(StoreRecord record) {
-		Optional<OperatorRecord> read = this.adapter.operatorRecord(record.key(), record.value());
+		Optional<OperatorRecord> read = read(record);
 		if (read.isEmpty()) {
 			unreadable(record.key());
 		}
@@ -198,10 +198,10 @@
 
 	void upstreamsNewest(StoreBatch batch) {
 		List<UpstreamEntry> entries = new ArrayList<>();
-		batch.records().forEach((record) -> record.value().ifPresent((value) -> {
-			Optional<UpstreamEntry> entry = this.adapter.upstream(record.key(), value);
-			entry.ifPresentOrElse(entries::add, () -> unreadable(record.key()));
-		}));
+		batch.records()
+			.stream()
+			.filter((record) -> record.value().isPresent())
+			.forEach((record) -> entry(record).ifPresentOrElse(entries::add, () -> unreadable(record.key())));
 		List<UpstreamEntry> gone = this.directory.replaceAll(entries, this.clock.millis());
 		entries.forEach(this::registered);
 		gone.forEach(this::gone);
@@ -213,7 +213,7 @@
 			this.directory.remove(record.key(), this.clock.millis()).ifPresent(this::gone);
 			return;
 		}
-		Optional<UpstreamEntry> entry = this.adapter.upstream(record.key(), record.value().get());
+		Optional<UpstreamEntry> entry = entry(record);
 		if (entry.isEmpty()) {
 			unreadable(record.key());
 			return;
@@ -229,9 +229,32 @@
 	 * @return {@code true} if the later one only repeats the earlier one
 	 */
 	boolean sameUpstream(StoreRecord before, StoreRecord after) {
-		Optional<UpstreamEntry> first = before.value().flatMap((value) -> this.adapter.upstream(before.key(), value));
-		Optional<UpstreamEntry> second = after.value().flatMap((value) -> this.adapter.upstream(after.key(), value));
-		return first.isPresent() && first.equals(second);
+		Optional<UpstreamEntry> first = entry(before);
+		return first.isPresent() && first.equals(entry(after));
+	}
+
+	/**
+	 * Reads an entry. What the adapter does not expect in a record makes that one
+	 * unreadable, and the others are read on.
+	 * @param record the record
+	 * @return the entry, or empty if there is none that can be read
+	 */
+	private Optional<UpstreamEntry> entry(StoreRecord record) {
+		try {
+			return record.value().flatMap((value) -> this.adapter.upstream(record.key(), value));
+		}
+		catch (RuntimeException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private Optional<OperatorRecord> read(StoreRecord record) {
+		try {
+			return this.adapter.operatorRecord(record.key(), record.value());
+		}
+		catch (RuntimeException ex) {
+			return Optional.empty();
+		}
 	}
 
 	void expire() {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
@@ -21,6 +21,7 @@
 import org.ebonyford.directory.RelayChoice;
 import org.ebonyford.directory.ReportInterval;
 import org.ebonyford.directory.RouterRoster;
+import org.ebonyford.directory.UpstreamEntry;
 import org.ebonyford.freshness.Freshness;
 import org.ebonyford.gateway.exchange.Upstream;
 import org.ebonyford.gateway.log.EventLog;
@@ -269,10 +270,12 @@
 		else {
 			Matcher announced = ANNOUNCEMENT
 				.matcher(record.key() + " " + new String(record.value().get(), StandardCharsets.UTF_8));
-			if (announced.matches()) {
+			if (!announced.matches() || port(announced, 2) == 0 || port(announced, 4) == 0) {
+				this.log.write(LogLine.of(GatewayEvent.UNREADABLE_RECORD).with("key", record.key()));
+			}
+			else {
 				RouterRoster.Member member = new RouterRoster.Member(record.key(), announced.group(3),
-						announced.group(1), Integer.parseInt(announced.group(2)), Integer.parseInt(announced.group(4)),
-						this.clock.millis());
+						announced.group(1), port(announced, 2), port(announced, 4), this.clock.millis());
 				this.roster.announced(member);
 				greet(member);
 			}
@@ -280,6 +283,11 @@
 		renewNames();
 	}
 
+	private static int port(Matcher announced, int group) {
+		int port = Integer.parseInt(announced.group(group));
+		return (port <= UpstreamEntry.GREATEST_PORT) ? port : 0;
+	}
+
 	/**
 	 * Sends a report at once to a gateway of this data centre that has started, so that
 	 * it finds the one through which it reads the store.
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreFeed.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreFeed.java
@@ -142,6 +142,15 @@
 		this.next = batch.next();
 		this.freshness.confirm(mark, batch.ageMillis());
 		this.listener.answered();
+		try {
+			hand(batch, known);
+		}
+		finally {
+			later(known ? this.plan.pauseMillis() : 0);
+		}
+	}
+
+	private void hand(StoreBatch batch, boolean known) {
 		if (known) {
 			this.cache.add(batch);
 			batch.records().forEach(this.listener::record);
@@ -150,7 +159,6 @@
 			this.cache.reset(batch);
 			this.listener.newest(batch);
 		}
-		later(known ? this.plan.pauseMillis() : 0);
 	}
 
 	private void failed(Throwable failure) {
--- a/ebonyford/src/main/java/org/ebonyford/directory/UpstreamEntry.java
+++ b/ebonyford/src/main/java/org/ebonyford/directory/UpstreamEntry.java
@@ -16,6 +16,25 @@
 public record UpstreamEntry(String id, String service, String host, int port, String dataCentre, int slots,
 		boolean draining, long coldMillis, long startedAt) {
 
+	/**
+	 * The greatest port.
+	 */
+	public static final int GREATEST_PORT = 65_535;
+
+	/**
+	 * Creates an entry.
+	 * @throws IllegalArgumentException if a number is out of its range
+	 */
+	public UpstreamEntry {
+		if (port < 1 || port > GREATEST_PORT) {
+			throw new IllegalArgumentException("The port must be from 1 to " + GREATEST_PORT + ": " + port);
+		}
+		if (slots < 1 || coldMillis < 0) {
+			throw new IllegalArgumentException(
+					"There must be a slot and no negative time: " + slots + ", " + coldMillis);
+		}
+	}
+
 	/**
 	 * Returns whether another entry comes from the same start of the same upstream.
 	 * @param other the other entry
