Take no refusal without a name for one of this request on a kept connection

Report: a faulty engine wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that ran, or those ran twice. Change: on a connection that has carried other requests a refusal has to name the request; else the request counts as one that may have run.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Attempt.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Attempt.java
@@ -316,8 +316,7 @@
 		}
 		int status = this.head.status().code();
 		if (this.head.headers().contains(this.names.notExecuted()) || status == MISDIRECTED) {
-			end();
-			this.owner.notRun(this, "status " + status);
+			refused(status);
 			return;
 		}
 		Answer answer = new Answer(status, this.head.headers(), this.body.bytes());
@@ -328,6 +327,20 @@
 		this.owner.answered(this, answer);
 	}
 
+	/**
+	 * Notes that the upstream did not run the request. A refusal that names no request
+	 * may be an earlier one that came once more, if the connection has carried others.
+	 * @param status the status
+	 */
+	private void refused(int status) {
+		if (!this.connection.first() && !this.head.headers().contains(this.names.requestId())) {
+			fail("the refusal names no request on a connection that has carried others");
+			return;
+		}
+		end();
+		this.owner.notRun(this, "status " + status);
+	}
+
 	@Override
 	public void broken(String reason, boolean closed) {
 		this.closed = closed;
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamConnection.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamConnection.java
@@ -158,6 +158,14 @@
 		this.channel = context.channel();
 	}
 
+	/**
+	 * Returns whether the connection has carried no request but the last one.
+	 * @return {@code true} if no earlier answer can come on it
+	 */
+	public boolean first() {
+		return this.requests == 1;
+	}
+
 	/**
 	 * Sends a request.
 	 * @param request the request
