Look at the engines a hundred times a second at most for turns that none takes

Cause: a turn that stays until an engine takes it lets each request of a crowd be placed while the engines are full. Change: 10 ms after a turn that no engine took, the next ones are refused unplaced; what is earned stays.

--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -331,7 +331,8 @@
 		long tokens = request.work().shareTokens();
 		Turn turn = router.shares.turn(request.organisation(), tokens, now);
 		router.shares.asked(request.organisation(), tokens, now);
-		if (!turn.passes() && (behind || !router.calmWatch.worthLooking(now))) {
+		CalmWatch watch = turn.passes() ? router.turnWatch : router.roomWatch;
+		if ((behind && !turn.passes()) || (turn.limited() && !watch.worthLooking(now))) {
 			return false;
 		}
 		double used = router.shares.used(request.organisation(), now);
@@ -340,8 +341,8 @@
 		Optional<Choice> choice = this.policy.choose(new Policy.Scene(router.pace, request.work(), router.usable(now),
 				terms, now, (state) -> engine(state).begins(request.work(), now)));
 		boolean taken = choice.isPresent() && this.policy.takes(choice.get(), terms);
-		if (!turn.passes()) {
-			router.calmWatch.looked(taken, now);
+		if (turn.limited()) {
+			watch.looked(taken, now);
 		}
 		if (taken) {
 			router.shares.served(request.organisation(), tokens, now);
@@ -466,7 +467,12 @@
 		/**
 		 * Whether requests beyond shares lately found a calm engine.
 		 */
-		private CalmWatch calmWatch;
+		private CalmWatch roomWatch;
+
+		/**
+		 * Whether an engine lately took requests whose turn it was.
+		 */
+		private CalmWatch turnWatch;
 
 		/**
 		 * The engines as the router knows them.
@@ -599,7 +605,8 @@
 		 */
 		void restart() {
 			this.pace = new ServicePace();
-			this.calmWatch = new CalmWatch();
+			this.roomWatch = CalmWatch.forRoom();
+			this.turnWatch = CalmWatch.forTurns();
 			this.exchange = new TotalsExchange(this.name, dataCentre(this.number));
 			this.shares = new OrganisationShares(4_000, () -> EngineFleet.this.statedPerSecond,
 					EngineFleet.this.routers::size, this.number + 1);
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -302,8 +302,9 @@
 	 * @return whether the request was refused
 	 */
 	private boolean refusedUnplaced(boolean behind) {
-		boolean turn = this.turn.passes() && !(behind && this.organisation.isEmpty());
-		if (turn || (!behind && this.service.calmWatch().worthLooking(this.startedAt))) {
+		boolean admitted = !behind || (this.turn.passes() && !this.organisation.isEmpty());
+		boolean watched = this.turn.limited() && !this.service.watch(this.turn).worthLooking(this.startedAt);
+		if (admitted && !watched) {
 			return false;
 		}
 		if (behind) {
@@ -439,8 +440,8 @@
 			return;
 		}
 		boolean taken = Admission.takes(choice.get(), terms);
-		if (!this.turn.passes()) {
-			this.service.calmWatch().looked(taken, now);
+		if (this.turn.limited()) {
+			this.service.watch(this.turn).looked(taken, now);
 		}
 		if (this.arrivals == 0 && !taken) {
 			overloaded(choice.get(), terms);
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/ServiceState.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/ServiceState.java
@@ -13,6 +13,7 @@
 import org.ebonyford.placement.Placement;
 import org.ebonyford.placement.ServicePace;
 import org.ebonyford.placement.UpstreamState;
+import org.ebonyford.share.Turn;
 
 /**
  * A service with its upstreams, and how requests are placed on them.
@@ -22,7 +23,12 @@
 	/**
 	 * Whether requests beyond shares lately found a calm upstream.
 	 */
-	private final CalmWatch calmWatch = new CalmWatch();
+	private final CalmWatch roomWatch = CalmWatch.forRoom();
+
+	/**
+	 * Whether an upstream lately took requests whose turn it was.
+	 */
+	private final CalmWatch turnWatch = CalmWatch.forTurns();
 
 	/**
 	 * How fast the upstreams work.
@@ -127,11 +133,13 @@
 	}
 
 	/**
-	 * Returns whether requests beyond shares lately found a calm upstream.
-	 * @return the watch, to be told of them
+	 * Returns whether upstreams lately took requests like one of an organisation that
+	 * asks for more than its share.
+	 * @param turn whether it is the request's turn
+	 * @return the watch, to be told of such requests
 	 */
-	public CalmWatch calmWatch() {
-		return this.calmWatch;
+	public CalmWatch watch(Turn turn) {
+		return turn.passes() ? this.turnWatch : this.roomWatch;
 	}
 
 }
--- a/ebonyford/src/main/java/org/ebonyford/placement/CalmWatch.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/CalmWatch.java
@@ -1,37 +1,68 @@
 package org.ebonyford.placement;
 
 /**
- * Remembers whether requests that are not their organisation's turn lately found a calm
- * engine. It answers the load of far more requests than can be served, each of which
- * would be placed only to be refused: a look at the engines costs most of a refusal, and
- * on a small VM that is what makes it fall behind its callers.
+ * Remembers whether an engine lately took requests of organisations that ask for more
+ * than their share. It answers the load of far more requests than can be served, each of
+ * which would be placed only to be refused: a look at the engines costs most of a
+ * refusal, and on a small VM that is what makes it fall behind its callers.
  */
 public final class CalmWatch {
 
 	/**
-	 * The time in milliseconds after which the engines are looked at again: a calm one is
-	 * found within a part of the shortest latency targets.
+	 * The time in milliseconds after which the engines are looked at again for a request
+	 * without a turn: a calm one is found within a part of the shortest latency targets.
 	 */
-	private static final long LOOK_MILLIS = 50;
+	private static final long ROOM_MILLIS = 50;
+
+	/**
+	 * The time in milliseconds after which the engines are looked at again for a request
+	 * that has its turn: a few times as often as an engine ends one.
+	 */
+	private static final long TURN_MILLIS = 10;
+
+	/**
+	 * The time in milliseconds after which the engines are looked at again.
+	 */
+	private final long lookMillis;
 
 	/**
 	 * When the engines were last looked at, in milliseconds.
 	 */
-	private long lookedAt = -LOOK_MILLIS;
+	private long lookedAt;
 
 	/**
-	 * Whether one was calm then.
+	 * Whether one took the request then.
 	 */
 	private boolean calm;
 
+	private CalmWatch(long lookMillis) {
+		this.lookMillis = lookMillis;
+		this.lookedAt = -lookMillis;
+	}
+
+	/**
+	 * Creates a watch for requests that are not their organisation's turn.
+	 * @return the watch
+	 */
+	public static CalmWatch forRoom() {
+		return new CalmWatch(ROOM_MILLIS);
+	}
+
+	/**
+	 * Creates a watch for requests whose turn it is, and stays if no engine takes them.
+	 * @return the watch
+	 */
+	public static CalmWatch forTurns() {
+		return new CalmWatch(TURN_MILLIS);
+	}
+
 	/**
-	 * Returns whether a request that is not its organisation's turn may find a calm
-	 * engine.
+	 * Returns whether an engine may take a request.
 	 * @param now the time in milliseconds
-	 * @return {@code false} if there was none a moment ago
+	 * @return {@code false} if none did a moment ago
 	 */
 	public boolean worthLooking(long now) {
-		return this.calm || now - this.lookedAt >= LOOK_MILLIS;
+		return this.calm || now - this.lookedAt >= this.lookMillis;
 	}
 
 	/**
--- a/ebonyford/src/main/java/org/ebonyford/share/Turn.java
+++ b/ebonyford/src/main/java/org/ebonyford/share/Turn.java
@@ -23,4 +23,12 @@
 		}
 	}
 
+	/**
+	 * Returns whether the organisation asks for more than its share covers.
+	 * @return {@code true} if some of its requests have no turn
+	 */
+	public boolean limited() {
+		return this.part < 1;
+	}
+
 }
