Give a crowd that is read too late to another gateway, and take its turns meanwhile

Cause: what a gateway decides by what it can read. More requests come than 0.36 of a core can refuse; beyond 400 ms of lateness none was taken, and the balancer goes on giving it all callers, as it is ready. Class: a decision about the fleet is left to what a single gateway meets; here, to whether it has the processor. Change: (1) a gateway that is behind takes turns however late it is, as long as it knows who has left: all sockets are read before requests are handled, and what is handled more than 400 ms after that is not taken.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerConnection.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerConnection.java
@@ -160,6 +160,10 @@
 		this.channel.close();
 	}
 
+	CallerServer server() {
+		return this.server;
+	}
+
 	void bytes() {
 		if (this.open == null && !this.reading) {
 			this.reading = true;
@@ -246,6 +250,7 @@
 	}
 
 	private void handle(CallerRequest request, OpenRequest opened) {
+		this.server.handling();
 		if (this.channel.isOpen() && !opened.done) {
 			this.server.handler().handle(request, opened);
 		}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerServer.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerServer.java
@@ -56,6 +56,17 @@
 	 */
 	private final Set<CallerConnection> idle = new LinkedHashSet<>();
 
+	/**
+	 * When the sockets were last looked at, in milliseconds: a caller that had left by
+	 * then is known to have.
+	 */
+	private long lookedAt;
+
+	/**
+	 * Whether a request was handled since then.
+	 */
+	private boolean handled = true;
+
 	/**
 	 * Whether connections are kept after an answer. Callers whose connection is not kept
 	 * come back to a gateway that is ready.
@@ -104,6 +115,26 @@
 		new ArrayList<>(this.connections).forEach((connection) -> connection.check(closeIdle));
 	}
 
+	/**
+	 * Returns for how long a caller may have left without that being known. In a turn of
+	 * the event loop all sockets are read before any request is handled.
+	 * @return the time in milliseconds
+	 */
+	public long unnoticedMillis() {
+		return this.clock.millis() - this.lookedAt;
+	}
+
+	void reading() {
+		if (this.handled) {
+			this.lookedAt = this.clock.millis();
+			this.handled = false;
+		}
+	}
+
+	void handling() {
+		this.handled = true;
+	}
+
 	/**
 	 * Tells whether connections are kept from now on.
 	 * @param kept whether callers may send another request after an answer
@@ -173,6 +204,7 @@
 
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
+			this.connection.server().reading();
 			this.connection.bytes();
 			context.fireChannelRead(message);
 		}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -269,7 +269,7 @@
 			return;
 		}
 		boolean behind = this.serving.behind();
-		if (behind && (this.serving.farBehind() || !this.serving.shares().scarce(this.startedAt))) {
+		if (behind && (this.serving.unaware() || !this.serving.shares().scarce(this.startedAt))) {
 			refuseBehind();
 			return;
 		}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Serving.java
@@ -89,10 +89,11 @@
 	boolean behind();
 
 	/**
-	 * Returns whether requests are read so late that none is taken.
-	 * @return {@code true} while the process is far behind its callers
+	 * Returns whether callers may have left for long without that being known, so that
+	 * none of their requests is taken.
+	 * @return {@code true} while requests are handled long after the sockets were read
 	 */
-	boolean farBehind();
+	boolean unaware();
 
 	/**
 	 * Returns a service.
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -52,6 +52,7 @@
 import org.ebonyford.lifecycle.Backlog;
 import org.ebonyford.lifecycle.ConnectionBounds;
 import org.ebonyford.lifecycle.Readiness;
+import org.ebonyford.lifecycle.Relief;
 import org.ebonyford.placement.ConnectionShare;
 import org.ebonyford.placement.UpstreamState;
 import org.ebonyford.retry.ColdAllowance;
@@ -113,6 +114,13 @@
 	 */
 	private static final long SAMPLE_MILLIS = 250;
 
+	/**
+	 * The time in milliseconds for which a caller's close may be unread when its request
+	 * is taken: below the half second after which work for a caller that has left counts
+	 * as a fault.
+	 */
+	private static final long UNNOTICED_MILLIS = 400;
+
 	/**
 	 * The connections that may wait to be accepted. Beyond them a caller's first packet
 	 * is lost, and comes again after seconds.
@@ -226,6 +234,11 @@
 	 */
 	private final Backlog backlog = new Backlog();
 
+	/**
+	 * Whether a crowd of callers is given to another gateway.
+	 */
+	private final Relief relief = new Relief();
+
 	/**
 	 * The sockets that listen.
 	 */
@@ -401,6 +414,7 @@
 			this.talliedAt = now;
 			tally(now);
 		}
+		this.relief.read(new Relief.View(behind(), this.shares.crowding(now), this.peering.neighbours()), now);
 		readiness();
 	}
 
@@ -475,9 +489,11 @@
 	private String unreadyReason() {
 		List<RouterRoster.Member> elsewhere = this.peering.elsewhere();
 		long heardAt = elsewhere.stream().mapToLong(RouterRoster.Member::heardAt).max().orElse(0);
-		return Readiness.obstacle(new Readiness.View(this.endingSince > 0, this.beliefs.complete(), catalogAge(),
-				this.follower.storeAnswers(), this.peering.youngestAge(), elsewhere.size(),
+		String obstacle = Readiness.obstacle(new Readiness.View(this.endingSince > 0, this.beliefs.complete(),
+				catalogAge(), this.follower.storeAnswers(), this.peering.youngestAge(), elsewhere.size(),
 				this.clock.millis() - heardAt));
+		return (obstacle.isEmpty() && this.relief.away(this.clock.millis())) ? "a crowd of callers is read too late"
+				: obstacle;
 	}
 
 	private OperatorServer.Page readinessPage(String path) {
@@ -600,8 +616,8 @@
 	}
 
 	@Override
-	public boolean farBehind() {
-		return this.backlog.farBehind(this.clock.millis());
+	public boolean unaware() {
+		return this.callers.unnoticedMillis() > UNNOTICED_MILLIS;
 	}
 
 	@Override
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
@@ -416,6 +416,14 @@
 		return this.roster.elsewhere(this.dataCentre, this.clock.millis());
 	}
 
+	/**
+	 * Returns the number of other gateways of this data centre that were heard lately.
+	 * @return the number
+	 */
+	int neighbours() {
+		return heardLately(this.clock.millis()).getOrDefault(this.dataCentre, List.of()).size();
+	}
+
 	/**
 	 * Returns where the store is read through a peer at present.
 	 * @return the address, or empty if this gateway reads from the store itself
--- a/ebonyford/src/main/java/org/ebonyford/lifecycle/Backlog.java
+++ b/ebonyford/src/main/java/org/ebonyford/lifecycle/Backlog.java
@@ -5,9 +5,9 @@
  * answers the load of more requests than one VM can read: what is read late would reach
  * an upstream after its caller has left, so it is refused before anything is decided
  * about it, which is what lets the process catch up. Where requests are refused for their
- * organisations' shares anyway, those whose turn it is are still taken, unless the
- * process is far behind: the callers of an organisation may all come to the same few VMs,
- * and would get nothing as long as these are behind.
+ * organisations' shares anyway, those whose turn it is are still taken: the callers of an
+ * organisation may all come to the same few VMs, and would get nothing as long as these
+ * are behind.
  */
 public final class Backlog {
 
@@ -22,13 +22,6 @@
 	 */
 	private static final long BEHIND_MILLIS = 150;
 
-	/**
-	 * The delay in milliseconds from which the process is far behind: what it reads may
-	 * have waited for nearly the half second after which work for a caller that has left
-	 * counts as a fault.
-	 */
-	private static final long FAR_BEHIND_MILLIS = 400;
-
 	/**
 	 * The delay in milliseconds below which it has caught up.
 	 */
@@ -39,11 +32,6 @@
 	 */
 	private long readAt = -1;
 
-	/**
-	 * The delay of the last reading in milliseconds.
-	 */
-	private long lastDelay;
-
 	/**
 	 * Whether the process is behind.
 	 */
@@ -59,9 +47,9 @@
 	 * @param now the time in milliseconds
 	 */
 	public void read(long now) {
-		this.lastDelay = delay(now);
-		this.longestDelay = Math.max(this.longestDelay, this.lastDelay);
-		this.behind = this.lastDelay > (this.behind ? CALM_MILLIS : BEHIND_MILLIS);
+		long last = delay(now);
+		this.longestDelay = Math.max(this.longestDelay, last);
+		this.behind = last > (this.behind ? CALM_MILLIS : BEHIND_MILLIS);
 		this.readAt = now;
 	}
 
@@ -76,15 +64,6 @@
 		return this.behind || delay(now) > BEHIND_MILLIS;
 	}
 
-	/**
-	 * Returns whether requests are read so late that none is taken.
-	 * @param now the time in milliseconds
-	 * @return {@code true} from a reading that was far too late until the next one
-	 */
-	public boolean farBehind(long now) {
-		return Math.max(this.lastDelay, delay(now)) > FAR_BEHIND_MILLIS;
-	}
-
 	/**
 	 * Returns the longest delay of a reading since the last call.
 	 * @return the delay in milliseconds
--- a/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
+++ b/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
@@ -247,6 +247,19 @@
 		return this.totals.getOrDefault(organisation, Usage.NONE).served() > ALIKE * this.leastRefused;
 	}
 
+	/**
+	 * Returns how many times the mean of all routers this router is asked for.
+	 * @param now the time in milliseconds
+	 * @return the tokens that it was lately asked for against the mean, 0 if nothing was
+	 * asked for
+	 */
+	public double crowding(long now) {
+		renew(now);
+		double all = this.totals.values().stream().mapToLong(Usage::asked).sum();
+		long asked = this.own.values().stream().mapToLong((counts) -> counts.usage(now).asked()).sum();
+		return (all > 0) ? asked * this.routers.getAsInt() / all : 0;
+	}
+
 	/**
 	 * Returns what the level was computed from.
 	 * @param now the time in milliseconds
