--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -257,6 +257,9 @@
 
 	/**
 	 * Lets a router notice how late its timer runs, which is set anew each time.
+	 * @param router the router
+	 * @param at when the timer runs, in milliseconds
+	 * @param end until when it is set anew, in milliseconds
 	 */
 	private void watch(Router router, long at, long end) {
 		this.events.add(new Event(at, () -> router.perform(at, (now) -> {
