Let the level of shares rise where engines are idle

What callers saw: refusals for shares while engines were idle. Cause: the level follows what was served by 10 in 100. An organisation that cannot use its part, as its gateway is late or engines come back, draws the level of all down, and it climbs back over some eight seconds. Change: while engines run less than they do without strain, the level grows by up to once as much again, by the loads that all gateways know.

--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -363,6 +363,7 @@
 	}
 
 	private boolean handle(Request request, Router router, long now) {
+		router.now = now;
 		boolean behind = router.backlog.behind(now);
 		if (now - request.at() > UNREAD_MILLIS || (behind && !router.shares.scarce(now))) {
 			return false;
@@ -560,6 +561,11 @@
 		 */
 		private double busyUntil;
 
+		/**
+		 * When the router handled a request last, in milliseconds.
+		 */
+		private long now;
+
 		Router(int number) {
 			this.number = number;
 			this.name = PREFIX + number;
@@ -679,7 +685,8 @@
 			this.turnWatch = CalmWatch.forTurns();
 			this.exchange = new TotalsExchange(this.name, dataCentre(this.number));
 			this.shares = new OrganisationShares(4_000, () -> EngineFleet.this.statedPerSecond,
-					EngineFleet.this.routers::size, this.number + 1);
+					() -> Admission.idle(this.states.values(), this.pace, this.now), EngineFleet.this.routers::size,
+					this.number + 1);
 			for (Engine engine : EngineFleet.this.engines) {
 				UpstreamEntry entry = new UpstreamEntry(engine.name, "s", "10.0.0.1", 80, "dc", SLOTS, false, 0, 1);
 				this.states.put(engine.name,
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -53,6 +53,7 @@
 import org.ebonyford.lifecycle.ConnectionBounds;
 import org.ebonyford.lifecycle.Readiness;
 import org.ebonyford.lifecycle.Relief;
+import org.ebonyford.placement.Admission;
 import org.ebonyford.placement.ConnectionShare;
 import org.ebonyford.placement.UpstreamState;
 import org.ebonyford.retry.ColdAllowance;
@@ -308,7 +309,7 @@
 		this.retries = new RetryBudget(settings.retryRatio(), settings.retryExtra(), settings.retryWindowMillis(),
 				clock.millis());
 		this.shares = new OrganisationShares(settings.shareWindowMillis(),
-				() -> catalog().map(Catalog::tokensPerSecond).orElse(0.0), this::routers,
+				() -> catalog().map(Catalog::tokensPerSecond).orElse(0.0), this::idleEngines, this::routers,
 				Rendezvous.hash(settings.name()) + wall.millis());
 		this.peering = new Peering(clock, settings.dataCentre(), log, this.beliefs, this.shares, this::catalogAge, wall,
 				this.loop);
@@ -390,6 +391,21 @@
 		return new Upstream(state, pool);
 	}
 
+	/**
+	 * Returns the part of what the engines run without strain that they do not run. Cold
+	 * ones and those that leave do not count.
+	 * @return the part, from 0 to 1
+	 */
+	private double idleEngines() {
+		long now = this.clock.millis();
+		List<UpstreamState> engines = this.beliefs.upstreams()
+			.stream()
+			.map(Upstream::state)
+			.filter((state) -> state.memoryTokens() > 0 && !state.entry().draining() && !state.cold(now))
+			.toList();
+		return engines.isEmpty() ? 0 : Admission.idle(engines, service(engines.get(0).entry().service()).pace(), now);
+	}
+
 	private ConnectionShare connections(ServiceState service, UpstreamState state) {
 		int accepted = service.definition().map(ServiceDefinition::connectionLimit).orElse(0);
 		int usedByOthers = state.total(this.clock.millis()).running() - state.own().running();
--- a/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/Admission.java
@@ -1,5 +1,7 @@
 package org.ebonyford.placement;
 
+import java.util.Collection;
+
 import org.ebonyford.share.Turn;
 
 /**
@@ -129,6 +131,24 @@
 				&& choice.aheadMillis() <= NO_WAIT_MILLIS;
 	}
 
+	/**
+	 * Returns the part of what engines run without strain that they do not run.
+	 * @param engines the engines
+	 * @param pace how fast they work
+	 * @param now the time in milliseconds
+	 * @return the part, from 0 to 1; 0 if there are no engines
+	 */
+	public static double idle(Collection<UpstreamState> engines, ServicePace pace, long now) {
+		return engines.stream().mapToDouble((engine) -> idle(engine, pace, now)).average().orElse(0);
+	}
+
+	private static double idle(UpstreamState engine, ServicePace pace, long now) {
+		Load load = engine.total(now);
+		double running = load.running() / (engine.entry().slots() * CALM_SLOTS);
+		double reading = pace.readMillis(load.reading()) / NO_WAIT_MILLIS;
+		return Math.max(1 - Math.max(running, reading), 0);
+	}
+
 	/**
 	 * Returns the time after which a refused request can be served, as far as is known.
 	 * @param choice the upstream chosen for it
--- a/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
+++ b/ebonyford/src/main/java/org/ebonyford/share/OrganisationShares.java
@@ -53,9 +53,10 @@
 	private static final double ALIKE = 1.5;
 
 	/**
-	 * How much more than was served is let through to the engines while something is
-	 * refused. What they cannot take in time is refused then by their load; what they can
-	 * raises the level, so that it follows them up without a measure of their room.
+	 * How much more than was served is let through to busy engines while something is
+	 * refused, and up to once as much more to idle ones. What they cannot take in time is
+	 * refused then by their load; what they can raises the level, so that it follows them
+	 * up without a measure of their room.
 	 */
 	private static final double GROWTH = 1.1;
 
@@ -76,6 +77,11 @@
 	 */
 	private final DoubleSupplier statedPerSecond;
 
+	/**
+	 * The part of what the engines run without strain that they do not run, from 0 to 1.
+	 */
+	private final DoubleSupplier idle;
+
 	/**
 	 * The number of routers.
 	 */
@@ -148,6 +154,22 @@
 	 * @param seed a number that differs between routers
 	 */
 	public OrganisationShares(long windowMillis, DoubleSupplier statedPerSecond, IntSupplier routers, long seed) {
+		this(windowMillis, statedPerSecond, () -> 0, routers, seed);
+	}
+
+	/**
+	 * Creates shares of which nothing is used, and that grow while engines are idle.
+	 * @param windowMillis the length of the window in milliseconds
+	 * @param statedPerSecond the tokens a second that the engines are stated to make, 0
+	 * while that is unknown
+	 * @param idle the part of what the engines run without strain that they do not run,
+	 * from 0 to 1
+	 * @param routers the number of routers
+	 * @param seed a number that differs between routers
+	 */
+	public OrganisationShares(long windowMillis, DoubleSupplier statedPerSecond, DoubleSupplier idle,
+			IntSupplier routers, long seed) {
+		this.idle = idle;
 		this.random = new SplittableRandom(seed);
 		this.windowMillis = windowMillis;
 		this.statedPerSecond = statedPerSecond;
@@ -369,7 +391,7 @@
 		if (!refused || !refusedLately) {
 			return Double.POSITIVE_INFINITY;
 		}
-		return Math.max(MaxMinLevel.of(demands, Math.max(served * GROWTH, capacity)), 1);
+		return Math.max(MaxMinLevel.of(demands, Math.max(served * (GROWTH + this.idle.getAsDouble()), capacity)), 1);
 	}
 
 	/**
