Let no gateway that reads late add up for others

Such a gateway answers no reports now, so that the others choose the next one within a second, and it reports like them. TotalsExchangeTest.testRouterThatReadsLateDoesNotAddUpForOthers plays it; it cannot run on the code before, which has no such state.

--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -433,6 +433,7 @@
 	private void exchange(Router router, long now) {
 		int neighbours = router.heard(now).getOrDefault(Router.dataCentre(router.number), List.of()).size();
 		router.relief.read(new Relief.View(router.backlog.behind(now), router.shares.crowding(now), neighbours), now);
+		router.exchange.available(!router.relief.strained(now));
 		if (TotalsInterval.worthIt(this.routers.size())) {
 			carry(router, router.exchange.tick(router.heard(now), router.totals(now), now), now);
 		}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -431,6 +431,7 @@
 			tally(now);
 		}
 		this.relief.read(new Relief.View(behind(), this.shares.crowding(now), this.peering.neighbours()), now);
+		this.peering.available(!this.relief.strained(now));
 		readiness();
 	}
 
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
@@ -416,6 +416,14 @@
 		return this.roster.elsewhere(this.dataCentre, this.clock.millis());
 	}
 
+	/**
+	 * Notes whether this gateway may add up what others do.
+	 * @param now whether it may from now on
+	 */
+	void available(boolean now) {
+		this.totals.available(now);
+	}
+
 	/**
 	 * Returns the number of other gateways of this data centre that were heard lately.
 	 * @return the number
--- a/ebonyford/src/main/java/org/ebonyford/lifecycle/Relief.java
+++ b/ebonyford/src/main/java/org/ebonyford/lifecycle/Relief.java
@@ -26,6 +26,12 @@
 	 */
 	private static final long LATE_MILLIS = 500;
 
+	/**
+	 * The greatest time in milliseconds by which a router counts as having been behind,
+	 * so that it recovers soon after.
+	 */
+	private static final long GREATEST_MILLIS = 2_000;
+
 	/**
 	 * For how long the crowd is given to another router, in milliseconds: a balancer
 	 * takes some seconds to notice, and one that comes back at once is read late again.
@@ -61,7 +67,7 @@
 	public void read(View view, long now) {
 		long passed = (this.readAt < 0) ? 0 : Math.min(now - this.readAt, LATE_MILLIS);
 		this.readAt = now;
-		this.lateMillis = Math.max(this.lateMillis + (view.behind() ? passed : -passed), 0);
+		this.lateMillis = Math.max(Math.min(this.lateMillis + (view.behind() ? passed : -passed), GREATEST_MILLIS), 0);
 		boolean crowded = view.crowding() >= CROWDED && view.neighbours() >= LEAST_NEIGHBOURS;
 		if (crowded && this.lateMillis >= LATE_MILLIS && now >= this.awayUntil + THERE_MILLIS) {
 			this.awayUntil = now + AWAY_MILLIS;
@@ -78,6 +84,16 @@
 		return now < this.awayUntil;
 	}
 
+	/**
+	 * Returns whether others are better placed for what all routers rely on.
+	 * @param now the time in milliseconds
+	 * @return {@code true} while the router has been behind for a while, or its crowd is
+	 * given to another one
+	 */
+	public boolean strained(long now) {
+		return away(now) || this.lateMillis >= LATE_MILLIS / 2;
+	}
+
 	/**
 	 * How a router does.
 	 *
--- a/ebonyford/src/main/java/org/ebonyford/total/TotalsExchange.java
+++ b/ebonyford/src/main/java/org/ebonyford/total/TotalsExchange.java
@@ -75,6 +75,11 @@
 	 */
 	private String collector;
 
+	/**
+	 * Whether this router may add up for others.
+	 */
+	private boolean available = true;
+
 	/**
 	 * When the collector answered or was chosen, in milliseconds.
 	 */
@@ -96,6 +101,15 @@
 		this.collector = self;
 	}
 
+	/**
+	 * Notes whether this router may add up for others. One that reads its messages late
+	 * does not, and is passed over as it does not answer.
+	 * @param now whether it may from now on
+	 */
+	public void available(boolean now) {
+		this.available = now;
+	}
+
 	/**
 	 * Sends what is due. It is called several times in a pause.
 	 * @param routers the names of the other routers that were heard lately, by data
@@ -134,6 +148,9 @@
 	public Round received(TotalsMessage message, long now) {
 		switch (message.kind()) {
 			case MEMBER -> {
+				if (!this.available) {
+					return Round.NOTHING;
+				}
 				this.neighbours.put(message.sender(), message.totals(now), now);
 				TotalsMessage answer = message(TotalsMessage.Kind.OTHERS, allBut(message.sender()), now);
 				return new Round(List.of(new Envelope(message.sender(), answer)), Optional.empty());
@@ -171,8 +188,10 @@
 		if (!this.collector.equals(this.self) && now - this.answeredAt > UNANSWERED_PAUSES * pause) {
 			this.passedOver.put(this.collector, now + PASSED_OVER_MILLIS);
 		}
-		List<String> candidates = names.stream().filter((name) -> !this.passedOver.containsKey(name)).toList();
-		String first = Rendezvous.order(KEY, candidates).get(0);
+		List<String> candidates = names.stream()
+			.filter((name) -> !this.passedOver.containsKey(name) && (this.available || !name.equals(this.self)))
+			.toList();
+		String first = candidates.isEmpty() ? this.self : Rendezvous.order(KEY, candidates).get(0);
 		if (!first.equals(this.collector)) {
 			this.collector = first;
 			this.answeredAt = now;
--- a/ebonyford/src/test/java/org/ebonyford/total/TotalsExchangeTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/total/TotalsExchangeTest.java
@@ -82,6 +82,21 @@
 		}
 	}
 
+	@Test
+	public void testRouterThatReadsLateDoesNotAddUpForOthers() {
+		start(61);
+		play(1_000);
+		List<Integer> late = IntStream.range(0, 61).filter(this::collects).boxed().toList();
+		late.forEach((router) -> this.routers.get(router).available(false));
+		play(4_000);
+		assertTrue(late.stream().noneMatch(this::collects));
+		for (int router = 0; router < 61; router++) {
+			Totals others = this.known.get(router);
+			assertEquals(others.sources(), 60, "router " + router);
+			assertTrue(this.now - others.measuredAt() <= 1_000, "age " + (this.now - others.measuredAt()));
+		}
+	}
+
 	@Test
 	public void testTotalsThatLeaveOutManyRoutersAreNotUsed() {
 		assertTrue(new Totals(55, 0, Map.of(), Map.of()).covers(60));
