--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Attempt.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Attempt.java
@@ -1,6 +1,7 @@
 package org.ebonyford.gateway.exchange;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -130,6 +131,12 @@
 	 */
 	private boolean firstEventRecorded;
 
+	/**
+	 * The time at which the first event of a stream, or a complete response, arrived, in
+	 * milliseconds.
+	 */
+	private long firstEventAt;
+
 	/**
 	 * Whether the attempt has ended.
 	 */
@@ -210,6 +217,15 @@
 		return this.closedByUpstream;
 	}
 
+	/**
+	 * Returns how long ago the upstream began to write the answer.
+	 * @return the time since the first event in milliseconds, empty if none has arrived
+	 */
+	OptionalLong writingMillis() {
+		return this.firstEventRecorded ? OptionalLong.of(this.clock.millis() - this.firstEventAt)
+				: OptionalLong.empty();
+	}
+
 	/**
 	 * Returns when the connection was opened.
 	 * @return the time in milliseconds
@@ -432,6 +448,7 @@
 		}
 		this.firstEventRecorded = true;
 		long now = this.clock.millis();
+		this.firstEventAt = now;
 		double elapsed = now - this.sentAt;
 		boolean timingsReliable = this.listener.timingsReliable();
 		this.listener.pace()
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -715,7 +716,9 @@
 				.with("fingerprint", fingerprint().value())
 				.with("running", ended.runningAtEnd())
 				.with("reason", reason)
-				.with("begun", this.streamStarted));
+				.with("begun", this.streamStarted)
+				.with("writing_ms", ended.writingMillis().orElse(-1))
+				.with("parts", sharedPartsText()));
 		if (again) {
 			retry();
 		}
@@ -724,6 +727,14 @@
 		}
 	}
 
+	private String sharedPartsText() {
+		return this.work.parts()
+			.stream()
+			.limit(this.work.sharedParts())
+			.map((part) -> Long.toHexString(part.id()))
+			.collect(Collectors.joining(","));
+	}
+
 	private void reportCompleted() {
 		if (!this.context.suspects().isEmpty()) {
 			this.context.suspects().recordCompletion(fingerprint());
