--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 import io.netty.handler.codec.http.HttpHeaders;
 
@@ -30,6 +31,7 @@
 import org.ebonyford.catalog.RouteKind;
 import org.ebonyford.catalog.RouteTable;
 import org.ebonyford.catalog.ServiceDefinition;
+import org.ebonyford.directory.Rendezvous;
 import org.ebonyford.directory.UpstreamEntry;
 import org.ebonyford.gateway.http.HttpCalls;
 import org.ebonyford.gateway.log.EventLog;
@@ -39,6 +41,7 @@
 import org.ebonyford.gateway.wire.Adapter;
 import org.ebonyford.gateway.wire.HeaderNames;
 import org.ebonyford.gateway.wire.OperatorRecord;
+import org.ebonyford.placement.PromptPart;
 import org.ebonyford.placement.Work;
 import org.ebonyford.time.Clock;
 
@@ -276,7 +279,10 @@
 
 		@Override
 		public Work work(HttpHeaders headers) {
-			return Work.of(List.of(), headers.getInt("Tokens", 0), 0);
+			return Work.of(Stream.of(headers.get("Parts", "").split(","))
+				.filter((part) -> !part.isEmpty())
+				.map((part) -> new PromptPart(Rendezvous.hash(part), 10))
+				.toList(), headers.getInt("Tokens", 0), 0);
 		}
 
 		@Override
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/MortalUpstreams.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/MortalUpstreams.java
@@ -20,7 +20,7 @@
 final class MortalUpstreams implements Closeable {
 
 	/**
-	 * What the path of a request holds under which an upstream ends.
+	 * What the path or a header of a request holds under which an upstream ends.
 	 */
 	static final String FATAL = "fatal";
 
@@ -95,7 +95,7 @@
 		String id = this.service + "-" + this.starts.incrementAndGet();
 		AtomicReference<FakeUpstream> self = new AtomicReference<>();
 		FakeUpstream upstream = new FakeUpstream((request, out, connection) -> {
-			if (request.lines().findFirst().orElse("").contains(FATAL)) {
+			if (request.contains(FATAL)) {
 				this.fatalArrivals.add(System.nanoTime() / 1_000_000);
 				end(self.get(), id);
 				return;
