Keep what was in force when the store comes back from an older copy

The users' store may come back from a copy some seconds old. Offsets are given out again, and the header Store-Era rises by one.

Before: a read at an offset that was given out again missed what was written before it, through a relay for as long as the offsets took to catch up; the older state ended an evacuation, put engines out of use that the copy lacks, and let a gateway that started from it accept a withdrawn key; a gateway's announcement and evidence stayed lost.

The era goes along with each batch, through relays, too. When it rises, the newest state is read at once and merged with what is known, and read once more 5 s later and applied in full. Gateways tell each other the version of their configuration: one whose store returns less than a peer told before refuses keys until the operator has written it again. Ruled out: not believing the store for some seconds after each return, which would refuse all callers with keys.

The router with its own log does not know of eras; that is open.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/HttpCalls.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/HttpCalls.java
@@ -27,6 +27,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -205,9 +206,10 @@
 	 * An answer.
 	 *
 	 * @param status the status code
+	 * @param headers the headers
 	 * @param body the body
 	 */
-	public record Answer(int status, byte[] body) {
+	public record Answer(int status, HttpHeaders headers, byte[] body) {
 	}
 
 	/**
@@ -315,7 +317,7 @@
 			else {
 				context.close();
 			}
-			answer.complete(new Answer(this.head.status().code(), this.body.toByteArray()));
+			answer.complete(new Answer(this.head.status().code(), this.head.headers(), this.body.toByteArray()));
 		}
 
 		/**
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/GatewayEvent.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/GatewayEvent.java
@@ -73,6 +73,10 @@
 	PART_SUSPECTED(25, true,
 			"Upstreams crash when they begin to answer prompts with a part; from now on requests with it are refused."),
 
+	/** The store has come back from an older copy. */
+	STORE_RESTORED(26, true,
+			"The store has come back from an older copy; what was read before stays in force until it is written again."),
+
 	/** The organisations' shares while requests are refused. */
 	SHARES(22, true,
 			"Something was refused in the last second; the line tells the level of the shares, the sums behind it, and how old the oldest of them is."),
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/peer/PeerReport.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/peer/PeerReport.java
@@ -17,13 +17,14 @@
  *
  * @param name the name of the gateway, which is the address at which its peers reach it
  * @param catalogAgeMillis the age of its configuration in milliseconds
+ * @param catalogVersion the version of its configuration, 0 if it has none
  * @param loads its load on upstreams, by the hash of the upstream's identifier
  * @param usages the tokens that organisations requested of it and that it served, by the
  * hash of the organisation's name
  * @param paces the speed of upstreams that it measured, by the hash of the service
  */
-public record PeerReport(String name, int catalogAgeMillis, Map<Integer, Load> loads, Map<Integer, Usage> usages,
-		Map<Integer, PaceTotals> paces) {
+public record PeerReport(String name, int catalogAgeMillis, long catalogVersion, Map<Integer, Load> loads,
+		Map<Integer, Usage> usages, Map<Integer, PaceTotals> paces) {
 
 	/**
 	 * The maximum number of upstreams in a report, so that it fits one packet.
@@ -62,7 +63,7 @@
 	/**
 	 * The first bytes of an encoded report: a magic number and the format version.
 	 */
-	private static final int MAGIC = 0xeb0f_0004;
+	private static final int MAGIC = 0xeb0f_0005;
 
 	/**
 	 * The size of the encoding buffer in bytes.
@@ -85,7 +86,10 @@
 	public byte[] encode() {
 		ByteBuffer buffer = ByteBuffer.allocate(MAX_BYTES);
 		byte[] nameBytes = this.name.getBytes(StandardCharsets.US_ASCII);
-		buffer.putInt(MAGIC).putInt(this.catalogAgeMillis).put((byte) nameBytes.length).put(nameBytes);
+		buffer.putInt(MAGIC)
+			.putInt(this.catalogAgeMillis)
+			.putInt((int) Math.min(this.catalogVersion, Integer.MAX_VALUE));
+		buffer.put((byte) nameBytes.length).put(nameBytes);
 		buffer.put((byte) this.loads.size());
 		this.loads.forEach((upstream, load) -> buffer.putInt(upstream)
 			.putShort((short) load.running())
@@ -142,6 +146,7 @@
 				return Optional.empty();
 			}
 			int catalogAgeMillis = buffer.getInt();
+			long catalogVersion = buffer.getInt();
 			byte[] nameBytes = new byte[buffer.get() & 0xff];
 			buffer.get(nameBytes);
 			Map<Integer, Load> loads = new HashMap<>();
@@ -156,7 +161,7 @@
 			Map<Integer, PaceTotals> paces = PaceCodec.read(buffer);
 			return buffer.hasRemaining() ? Optional.empty()
 					: Optional.of(new PeerReport(new String(nameBytes, StandardCharsets.US_ASCII), catalogAgeMillis,
-							loads, usages, paces));
+							catalogVersion, loads, usages, paces));
 		}
 		catch (BufferUnderflowException ex) {
 			return Optional.empty();
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -667,7 +667,8 @@
 
 	@Override
 	public boolean keysCurrent() {
-		return catalogAgeMillis() < this.settings.revocationMillis() - REVOCATION_MARGIN_MILLIS;
+		return catalogAgeMillis() < this.settings.revocationMillis() - REVOCATION_MARGIN_MILLIS
+				&& !this.peering.storeLacksNewestCatalog();
 	}
 
 	@Override
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Peering.java
@@ -18,6 +18,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.EventExecutor;
 
+import org.ebonyford.catalog.Catalog;
 import org.ebonyford.directory.RelayChoice;
 import org.ebonyford.directory.ReportInterval;
 import org.ebonyford.directory.RouterRoster;
@@ -120,6 +121,26 @@
 	 */
 	private MetadataStore store;
 
+	/**
+	 * Retries the announcement.
+	 */
+	private EventExecutor announceLoop;
+
+	/**
+	 * The port at which peers read from the relay.
+	 */
+	private int relayPort;
+
+	/**
+	 * The newest version of the configuration that a peer has told.
+	 */
+	private long newestCatalogVersion;
+
+	/**
+	 * When a peer first told of it, in milliseconds.
+	 */
+	private long newestCatalogToldAt;
+
 	/**
 	 * By peer name, the age of its configuration in milliseconds and when the report
 	 * arrived.
@@ -235,6 +256,8 @@
 	 */
 	void announce(EventExecutor loop, MetadataStore store, int relayPort) {
 		this.store = store;
+		this.announceLoop = loop;
+		this.relayPort = relayPort;
 		if (this.withdrawn) {
 			return;
 		}
@@ -261,6 +284,22 @@
 		this.suspects.storeRead();
 	}
 
+	/**
+	 * Applies the gateways' records after the store has come back from an older copy, and
+	 * writes again what this gateway wrote.
+	 * @param batch the records
+	 */
+	void applyRestoredAnnouncements(StoreBatch batch) {
+		applyAnnouncements(batch);
+		if (this.withdrawn) {
+			withdraw(this.store);
+		}
+		else if (this.store != null) {
+			announce(this.announceLoop, this.store, this.relayPort);
+		}
+		this.suspects.storeRestored();
+	}
+
 	void applyAnnouncement(StoreRecord record) {
 		if (record.key().startsWith(CRASHES_KEY_PREFIX)) {
 			boolean own = record.key().equals(CRASHES_KEY_PREFIX + self());
@@ -407,11 +446,25 @@
 
 	private byte[] report() {
 		Map<Integer, Load> loads = ownLoads();
-		return new PeerReport(self(), (int) Math.min(this.catalogAge.getAsLong(), Integer.MAX_VALUE), loads,
-				this.shares.ownUsage(PeerReport.MAX_USAGES, this.clock.millis()), ownPaces(this.clock.millis()))
+		return new PeerReport(self(), (int) Math.min(this.catalogAge.getAsLong(), Integer.MAX_VALUE), catalogVersion(),
+				loads, this.shares.ownUsage(PeerReport.MAX_USAGES, this.clock.millis()), ownPaces(this.clock.millis()))
 			.encode();
 	}
 
+	private long catalogVersion() {
+		return this.storeView.catalog().map(Catalog::version).orElse(0L);
+	}
+
+	/**
+	 * Returns whether the store has lost the newest configuration: it was asked for the
+	 * configuration after a peer told of a newer version than it returned.
+	 * @return {@code true} until the operator has written that version again
+	 */
+	boolean storeLacksNewestCatalog() {
+		long askedAt = this.clock.millis() - this.catalogAge.getAsLong();
+		return this.newestCatalogVersion > catalogVersion() && this.newestCatalogToldAt < askedAt;
+	}
+
 	private void send(byte[] bytes, RouterRoster.Member peer) {
 		this.reports.send(bytes, new InetSocketAddress(peer.host(), peer.port()));
 	}
@@ -480,6 +533,10 @@
 		long now = this.clock.millis();
 		this.roster.heard(report.name(), now);
 		this.catalogAgesByPeer.put(report.name(), new long[] { report.catalogAgeMillis(), now });
+		if (report.catalogVersion() > this.newestCatalogVersion) {
+			this.newestCatalogVersion = report.catalogVersion();
+			this.newestCatalogToldAt = now;
+		}
 		this.shares.updatePeer(report.name(), report.usages(), now);
 		long until = now + ReportInterval.validMillis(this.names.size());
 		this.storeView.services()
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreFollower.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreFollower.java
@@ -80,11 +80,14 @@
 		this.storeView = storeView;
 		this.log = log;
 		addFeed(new StoreFeed.Plan(StoreTopic.OPERATOR, OPERATOR_LONG_POLL_MILLIS, 0), operatorAge,
-				new FeedListener(storeView::applyOperatorSnapshot, storeView::applyOperatorRecord));
+				new FeedListener(storeView::applyOperatorSnapshot, storeView::applyRestoredOperatorRecords,
+						storeView::applyOperatorRecord));
 		addFeed(new StoreFeed.Plan(StoreTopic.UPSTREAMS, 0, UPSTREAMS_POLL_PAUSE_MILLIS), ageFactory.get(),
-				new FeedListener(storeView::applyUpstreamSnapshot, storeView::applyUpstreamRecord));
+				new FeedListener(storeView::applyUpstreamSnapshot, storeView::applyRestoredUpstreams,
+						storeView::applyUpstreamRecord));
 		addFeed(new StoreFeed.Plan(StoreTopic.GATEWAYS, GATEWAYS_LONG_POLL_MILLIS, 0), ageFactory.get(),
-				new FeedListener(peering::applyAnnouncements, peering::applyAnnouncement));
+				new FeedListener(peering::applyAnnouncements, peering::applyRestoredAnnouncements,
+						peering::applyAnnouncement));
 	}
 
 	private void addFeed(StoreFeed.Plan plan, Freshness age, StoreFeed.Listener listener) {
@@ -134,13 +137,19 @@
 		 */
 		private final Consumer<StoreBatch> newest;
 
+		/**
+		 * Applies a snapshot that may be older than what was read before.
+		 */
+		private final Consumer<StoreBatch> restored;
+
 		/**
 		 * Applies a record.
 		 */
 		private final Consumer<StoreRecord> record;
 
-		FeedListener(Consumer<StoreBatch> newest, Consumer<StoreRecord> record) {
+		FeedListener(Consumer<StoreBatch> newest, Consumer<StoreBatch> restored, Consumer<StoreRecord> record) {
 			this.newest = newest;
+			this.restored = restored;
 			this.record = record;
 		}
 
@@ -149,6 +158,12 @@
 			this.newest.accept(batch);
 		}
 
+		@Override
+		public void restored(StoreBatch batch) {
+			StoreFollower.this.log.write(LogLine.of(GatewayEvent.STORE_RESTORED).with("era", batch.era()));
+			this.restored.accept(batch);
+		}
+
 		@Override
 		public void record(StoreRecord read) {
 			this.record.accept(read);
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreView.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreView.java
@@ -1,6 +1,8 @@
 package org.ebonyford.gateway.process;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -32,10 +34,10 @@
 final class StoreView {
 
 	/**
-	 * Maximum number of removed upstreams whose notices are kept. It covers all upstreams
-	 * that leave within hours.
+	 * Maximum number of removed upstreams that are remembered, and whose notices are
+	 * kept. It covers all upstreams that leave within hours.
 	 */
-	private static final int MAX_KEPT_NOTICES = 1_000;
+	private static final int MAX_REMOVED_UPSTREAMS = 1_000;
 
 	/**
 	 * Monotonic clock, for lapsing entries.
@@ -89,10 +91,15 @@
 	private final Map<UpstreamEntry, AvailabilityNotice> keptNotices = new LinkedHashMap<>() {
 		@Override
 		protected boolean removeEldestEntry(Map.Entry<UpstreamEntry, AvailabilityNotice> eldest) {
-			return size() > MAX_KEPT_NOTICES;
+			return size() > MAX_REMOVED_UPSTREAMS;
 		}
 	};
 
+	/**
+	 * Entries that are gone for good, the oldest first.
+	 */
+	private final Deque<UpstreamEntry> gone = new ArrayDeque<>();
+
 	/**
 	 * Whether a snapshot of the upstreams has been read.
 	 */
@@ -167,6 +174,15 @@
 		endedEvacuations.forEach((ended) -> applyEvacuation(new OperatorRecord.ForEvacuation(ended, false)));
 	}
 
+	/**
+	 * Applies the operator records after the store has come back from an older copy. No
+	 * evacuation ends, as the record of one that began since may be lost.
+	 * @param batch the records
+	 */
+	void applyRestoredOperatorRecords(StoreBatch batch) {
+		batch.records().forEach(this::applyOperatorRecord);
+	}
+
 	void applyOperatorRecord(StoreRecord record) {
 		Optional<OperatorRecord> read = decodeOperatorRecord(record);
 		if (read.isEmpty()) {
@@ -204,23 +220,58 @@
 	}
 
 	void applyUpstreamSnapshot(StoreBatch batch) {
+		replaceUpstreams(decodeEntries(batch));
+	}
+
+	/**
+	 * Applies the upstream records after the store has come back from an older copy.
+	 * Upstreams that have left since stay out; those that the copy lacks have time to
+	 * register again.
+	 * @param batch the records
+	 */
+	void applyRestoredUpstreams(StoreBatch batch) {
+		this.directory.storeAway();
+		this.directory.storeBack(this.clock.millis());
+		replaceUpstreams(decodeEntries(batch).stream()
+			.filter((entry) -> this.gone.stream().noneMatch(entry::sameStart))
+			.toList());
+	}
+
+	private List<UpstreamEntry> decodeEntries(StoreBatch batch) {
 		List<UpstreamEntry> entries = new ArrayList<>();
 		batch.records()
 			.stream()
 			.filter((record) -> record.value().isPresent())
-			.forEach((record) -> decodeEntry(record).ifPresentOrElse(entries::add, () -> logUnreadable(record.key())));
-		List<UpstreamEntry> gone = this.directory.replaceAll(entries, this.clock.millis());
+			.forEach((record) -> decodeEntry(record).ifPresentOrElse((entry) -> entries.add(withLeaving(entry)),
+					() -> logUnreadable(record.key())));
+		return entries;
+	}
+
+	private void replaceUpstreams(List<UpstreamEntry> entries) {
+		List<UpstreamEntry> removed = this.directory.replaceAll(entries, this.clock.millis());
 		entries.forEach(this::applyEntry);
-		gone.forEach(this::dropUpstream);
+		removed.forEach(this::dropUpstream);
 		this.upstreamsKnown = true;
 	}
 
+	/**
+	 * Returns an entry as draining if its upstream was draining before: it never stops
+	 * draining, so a record that says so is an older one.
+	 * @param entry the entry
+	 * @return the entry
+	 */
+	private UpstreamEntry withLeaving(UpstreamEntry entry) {
+		Upstream known = service(entry.service()).upstreams().get(entry.id());
+		boolean leaving = known != null && known.state().entry().sameStart(entry) && known.state().entry().draining();
+		return leaving ? entry.asDraining() : entry;
+	}
+
 	void applyUpstreamRecord(StoreRecord record) {
 		if (record.value().isEmpty()) {
 			this.directory.remove(record.key(), this.clock.millis()).ifPresent(this::dropUpstream);
 			return;
 		}
-		Optional<UpstreamEntry> entry = decodeEntry(record);
+		Optional<UpstreamEntry> entry = decodeEntry(record).map(this::withLeaving);
 		if (entry.isEmpty()) {
 			logUnreadable(record.key());
 			return;
@@ -301,6 +352,10 @@
 
 	private void dropUpstream(UpstreamEntry entry) {
 		remove(entry.id());
+		this.gone.add(entry);
+		if (this.gone.size() > MAX_REMOVED_UPSTREAMS) {
+			this.gone.remove();
+		}
 		this.log.write(
 				LogLine.of(GatewayEvent.UPSTREAM_GONE).with("upstream", entry.id()).with("service", entry.service()));
 	}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayCodec.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayCodec.java
@@ -18,7 +18,7 @@
 	/**
 	 * What each message begins with: a mark and the version of the format.
 	 */
-	private static final int MARK = 0xeb0f_1001;
+	private static final int MARK = 0xeb0f_1002;
 
 	private RelayCodec() {
 	}
@@ -29,6 +29,7 @@
 			out.writeInt(MARK);
 			out.writeLong(batch.ageMillis());
 			out.writeLong(batch.next());
+			out.writeLong(batch.era());
 			out.writeInt(batch.records().size());
 			for (StoreRecord record : batch.records()) {
 				out.writeUTF(record.key());
@@ -49,6 +50,7 @@
 			}
 			long age = in.readLong();
 			long next = in.readLong();
+			long era = in.readLong();
 			int count = in.readInt();
 			List<StoreRecord> records = new ArrayList<>();
 			for (int index = 0; index < count; index++) {
@@ -62,7 +64,7 @@
 				}
 				records.add(new StoreRecord(key, value));
 			}
-			return new StoreBatch(records, next, age);
+			return new StoreBatch(records, next, age, era);
 		}
 		catch (IOException ex) {
 			throw new StoreException("The relay's answer cannot be read", false);
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
@@ -52,6 +52,11 @@
 	 */
 	private final Supplier<Optional<InetSocketAddress>> relay;
 
+	/**
+	 * The newest era of the store that an answer told.
+	 */
+	private long newestEra;
+
 	/**
 	 * Creates a store that is read through peers.
 	 * @param store the store
@@ -66,20 +71,25 @@
 
 	@Override
 	public CompletableFuture<StoreBatch> newest(StoreTopic topic) {
-		return this.store.newest(topic);
+		return this.store.newest(topic).thenApply(this::recordEra);
+	}
+
+	private StoreBatch recordEra(StoreBatch batch) {
+		this.newestEra = Math.max(this.newestEra, batch.era());
+		return batch;
 	}
 
 	@Override
 	public CompletableFuture<StoreBatch> read(StoreTopic topic, long from, long waitMillis) {
 		Optional<InetSocketAddress> peer = this.relay.get();
 		if (peer.isEmpty()) {
-			return this.store.read(topic, from, waitMillis);
+			return this.store.read(topic, from, waitMillis).thenApply(this::recordEra);
 		}
 		long wait = Math.max(waitMillis, LEAST_WAIT_MILLIS);
 		HttpCalls.Call call = HttpCalls.Call.get(RelayServer.uri(topic, from, wait));
 		CompletableFuture<StoreBatch> answer = new CompletableFuture<>();
 		this.calls.call(peer.get(), call, wait + TIMEOUT_MILLIS)
-			.thenApply(RelayedStore::batch)
+			.thenApply(this::batch)
 			.whenComplete((batch, failure) -> {
 				if (failure == null) {
 					answer.complete(batch);
@@ -94,7 +104,7 @@
 	private void direct(StoreTopic topic, long from, CompletableFuture<StoreBatch> answer) {
 		this.store.read(topic, from, 0).whenComplete((batch, failure) -> {
 			if (failure == null) {
-				answer.complete(batch);
+				answer.complete(recordEra(batch));
 			}
 			else {
 				answer.completeExceptionally(failure);
@@ -102,7 +112,7 @@
 		});
 	}
 
-	private static StoreBatch batch(HttpCalls.Answer answer) {
+	private StoreBatch batch(HttpCalls.Answer answer) {
 		if (answer.status() != OK) {
 			throw new StoreException("The relay answered " + answer.status(), false);
 		}
@@ -110,7 +120,10 @@
 		if (batch.ageMillis() > GREATEST_AGE_MILLIS) {
 			throw new StoreException("The relay has lost the store", false);
 		}
-		return batch;
+		if (batch.era() < this.newestEra) {
+			throw new StoreException("The relay has not noticed that the store came back from an older copy", false);
+		}
+		return recordEra(batch);
 	}
 
 	@Override
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreBatch.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreBatch.java
@@ -9,8 +9,10 @@
  * @param next the offset after the last of them
  * @param ageMillis how long before the answer the store was asked, in milliseconds; 0 if
  * the store itself answered
+ * @param era how often the store has come back from an older copy, 0 if it does not tell.
+ * Offsets of different eras cannot be compared.
  */
-public record StoreBatch(List<StoreRecord> records, long next, long ageMillis) {
+public record StoreBatch(List<StoreRecord> records, long next, long ageMillis, long era) {
 
 	/**
 	 * Creates a batch.
@@ -25,7 +27,17 @@
 	 * @param next the offset after the last of them
 	 */
 	public StoreBatch(List<StoreRecord> records, long next) {
-		this(records, next, 0);
+		this(records, next, 0, 0);
+	}
+
+	/**
+	 * Creates a batch that the store itself answered.
+	 * @param records the records in their order
+	 * @param next the offset after the last of them
+	 * @param ageMillis how long before the answer the store was asked, in milliseconds
+	 */
+	public StoreBatch(List<StoreRecord> records, long next, long ageMillis) {
+		this(records, next, ageMillis, 0);
 	}
 
 	/**
@@ -34,7 +46,16 @@
 	 * @return the batch
 	 */
 	public StoreBatch aged(long millis) {
-		return new StoreBatch(this.records, this.next, millis);
+		return new StoreBatch(this.records, this.next, millis, this.era);
+	}
+
+	/**
+	 * Returns the same records of an era.
+	 * @param number the era
+	 * @return the batch
+	 */
+	public StoreBatch ofEra(long number) {
+		return new StoreBatch(this.records, this.next, this.ageMillis, number);
 	}
 
 }
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreFeed.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreFeed.java
@@ -10,7 +10,9 @@
 
 /**
  * Follows a topic of the store: reads its newest state, then each record after it, and
- * begins anew when the store has forgotten records in between.
+ * begins anew when the store has forgotten records in between. When the store has come
+ * back from an older copy, the state is read twice: at once, and after what the copy
+ * lacks was written again.
  */
 public final class StoreFeed implements RelayServer.Source {
 
@@ -26,6 +28,12 @@
 	 */
 	private static final long LONGEST_PAUSE_MILLIS = 900;
 
+	/**
+	 * How long in milliseconds the operator and the upstreams may take to write again
+	 * what a copy lacks: over twice the time within which upstreams renew their entries.
+	 */
+	private static final long REWRITE_MILLIS = 5_000;
+
 	/**
 	 * The event loop.
 	 */
@@ -61,6 +69,12 @@
 	 */
 	private long next = -1;
 
+	/**
+	 * The era of the store that {@link #next} belongs to, negative before anything was
+	 * read.
+	 */
+	private long era = -1;
+
 	/**
 	 * The pause after the next call that fails, in milliseconds.
 	 */
@@ -138,29 +152,50 @@
 			failed(failure);
 			return;
 		}
+		if (batch.era() < this.era) {
+			failed(new StoreException("The answer is from before the store came back from an older copy", false));
+			return;
+		}
+		boolean restored = this.era >= 0 && batch.era() > this.era;
+		if (restored && known) {
+			this.next = -1;
+			readNow();
+			return;
+		}
+		this.era = batch.era();
 		this.pause = FIRST_PAUSE_MILLIS;
 		this.next = batch.next();
 		this.freshness.confirmRead(mark, batch.ageMillis());
 		this.listener.answered();
 		try {
-			hand(batch, known);
+			hand(batch, known, restored);
 		}
 		finally {
 			later(known ? this.plan.pauseMillis() : 0);
 		}
 	}
 
-	private void hand(StoreBatch batch, boolean known) {
+	private void hand(StoreBatch batch, boolean known, boolean restored) {
 		if (known) {
 			this.cache.add(batch);
 			batch.records().forEach(this.listener::record);
 		}
+		else if (restored) {
+			this.cache.reset(batch);
+			this.loop.schedule(this::readNewest, REWRITE_MILLIS, TimeUnit.MILLISECONDS);
+			this.listener.restored(batch);
+		}
 		else {
 			this.cache.reset(batch);
 			this.listener.newest(batch);
 		}
 	}
 
+	private void readNewest() {
+		this.next = -1;
+		readNow();
+	}
+
 	private void failed(Throwable failure) {
 		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
 		if (cause instanceof StoreException exception && exception.forgotten()) {
@@ -203,6 +238,13 @@
 		 */
 		void newest(StoreBatch batch);
 
+		/**
+		 * Takes the state of the topic after the store has come back from an older copy.
+		 * What was read before may be newer; {@link #newest} follows.
+		 * @param batch the newest record of each key
+		 */
+		void restored(StoreBatch batch);
+
 		/**
 		 * Takes a record.
 		 * @param record the record
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/TopicCache.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/TopicCache.java
@@ -41,6 +41,11 @@
 	 */
 	private long next = -1;
 
+	/**
+	 * The era of the store that the records are from.
+	 */
+	private long era;
+
 	/**
 	 * Creates a cache that knows nothing.
 	 * @param same tells whether two records of a key say the same
@@ -58,6 +63,16 @@
 		batch.records().forEach((record) -> this.newest.put(record.key(), new Kept(record, batch.next() - 1)));
 		this.first = batch.next();
 		this.next = batch.next();
+		if (batch.era() != this.era) {
+			this.era = batch.era();
+			answerWaiting();
+		}
+	}
+
+	private void answerWaiting() {
+		List<Waiting> told = new ArrayList<>(this.waiting);
+		this.waiting.clear();
+		told.forEach((peer) -> peer.answer().complete(since(peer.from())));
 	}
 
 	/**
@@ -77,9 +92,7 @@
 		}
 		this.next = batch.next();
 		if (changed) {
-			List<Waiting> told = new ArrayList<>(this.waiting);
-			this.waiting.clear();
-			told.forEach((peer) -> peer.answer().complete(since(peer.from())));
+			answerWaiting();
 		}
 	}
 
@@ -120,7 +133,7 @@
 			.sorted(Comparator.comparingLong(Kept::offset))
 			.map(Kept::record)
 			.toList();
-		return new StoreBatch(records, Math.max(this.next, from));
+		return new StoreBatch(records, Math.max(this.next, from)).ofEra(this.era);
 	}
 
 	/**
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/suspect/SuspectCoordinator.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/suspect/SuspectCoordinator.java
@@ -335,6 +335,14 @@
 		return report.crashes().stream().filter((crash) -> crash.knownAtMillis() > oldestMillis);
 	}
 
+	/**
+	 * Stores the evidence of this gateway again, since the store has come back from an
+	 * older copy.
+	 */
+	public void storeRestored() {
+		scheduleStore(this.clock.millis());
+	}
+
 	/**
 	 * Records that the stored records of all gateways have been read.
 	 */
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/peer/PeerReportTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/peer/PeerReportTest.java
@@ -22,7 +22,7 @@
 
 	@Test
 	public void testDecodeReturnsEncodedReport() {
-		PeerReport report = new PeerReport("10.0.0.1:7400", 250, Map.of(-5, new Load(3, 12_000, 64_000)),
+		PeerReport report = new PeerReport("10.0.0.1:7400", 250, 7, Map.of(-5, new Load(3, 12_000, 64_000)),
 				Map.of(9, new Usage(5_000, 4_000, 3_000, 2_000)), Map.of(-3, new PaceTotals(7_000, 3, 9_001, 2)));
 		assertEquals(PeerReport.decode(report.encode()).orElseThrow(), report);
 	}
@@ -41,7 +41,8 @@
 		for (int index = 0; index < 20; index++) {
 			paces.put(index, new PaceTotals(1L << 40, index, 1L << 40, index));
 		}
-		byte[] bytes = new PeerReport("255.255.255.255:65535", Integer.MAX_VALUE, loads, usages, paces).encode();
+		byte[] bytes = new PeerReport("255.255.255.255:65535", Integer.MAX_VALUE, Long.MAX_VALUE, loads, usages, paces)
+			.encode();
 		assertTrue(bytes.length < 1_472, bytes.length + " bytes");
 		assertEquals(PeerReport.decode(bytes).orElseThrow().loads().size(), PeerReport.MAX_LOADS);
 		assertTrue(PeerReport.decode(bytes).orElseThrow().paces().containsKey(19));
@@ -50,13 +51,14 @@
 	@Test
 	public void testLoadTokensAreRoundedUp() {
 		Load load = new Load(1, 33, 1);
-		PeerReport report = new PeerReport("a:1", 1, Map.of(1, load), Map.of(), Map.of());
+		PeerReport report = new PeerReport("a:1", 1, 7, Map.of(1, load), Map.of(), Map.of());
 		assertEquals(PeerReport.decode(report.encode()).orElseThrow().loads().get(1), new Load(1, 64, 32));
 	}
 
 	@Test
 	public void testTruncatedOrOverlongReportIsRejected() {
-		byte[] bytes = new PeerReport("a:1", 1, Map.of(1, Load.NONE), Map.of(1, Usage.NONE), Map.of(1, PaceTotals.NONE))
+		byte[] bytes = new PeerReport("a:1", 1, 7, Map.of(1, Load.NONE), Map.of(1, Usage.NONE),
+				Map.of(1, PaceTotals.NONE))
 			.encode();
 		for (int length = 0; length < bytes.length; length++) {
 			assertTrue(PeerReport.decode(Arrays.copyOf(bytes, length)).isEmpty(), length + " bytes");
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/FakeStore.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/FakeStore.java
@@ -27,6 +27,8 @@
 
 	private boolean announcementsAway;
 
+	private long era;
+
 	FakeStore() {
 		for (StoreTopic topic : StoreTopic.values()) {
 			this.topics.put(topic, new ArrayList<>());
@@ -57,6 +59,23 @@
 		this.topics.forEach((topic, records) -> this.first.put(topic, records.size()));
 	}
 
+	/**
+	 * Returns a copy, from which the store can come back later.
+	 */
+	synchronized Map<StoreTopic, List<StoreRecord>> copy() {
+		Map<StoreTopic, List<StoreRecord>> copy = new EnumMap<>(StoreTopic.class);
+		this.topics.forEach((topic, records) -> copy.put(topic, new ArrayList<>(records)));
+		return copy;
+	}
+
+	/**
+	 * Loses what was written since a copy was made.
+	 */
+	synchronized void restore(Map<StoreTopic, List<StoreRecord>> copy) {
+		this.topics.putAll(copy);
+		this.era++;
+	}
+
 	synchronized List<StoreRecord> records(StoreTopic topic) {
 		return List.copyOf(this.topics.get(topic));
 	}
@@ -86,7 +105,8 @@
 
 			private StoreBatch hide(StoreBatch batch) {
 				return new StoreBatch(batch.records().stream().filter((record) -> !announces(record.key())).toList(),
-						batch.next());
+						batch.next())
+					.ofEra(batch.era());
 			}
 
 			private boolean announces(String key) {
@@ -106,8 +126,8 @@
 			newest.remove(record.key());
 			record.value().ifPresent((value) -> newest.put(record.key(), record));
 		});
-		return CompletableFuture
-			.completedFuture(new StoreBatch(List.copyOf(newest.values()), this.topics.get(topic).size()));
+		return CompletableFuture.completedFuture(
+				new StoreBatch(List.copyOf(newest.values()), this.topics.get(topic).size()).ofEra(this.era));
 	}
 
 	@Override
@@ -119,8 +139,11 @@
 			return CompletableFuture.failedFuture(new StoreException("forgotten", true));
 		}
 		List<StoreRecord> records = this.topics.get(topic);
-		return CompletableFuture
-			.completedFuture(new StoreBatch(records.subList((int) from, records.size()), records.size()));
+		if (from > records.size()) {
+			return CompletableFuture.failedFuture(new StoreException("not there", true));
+		}
+		return CompletableFuture.completedFuture(
+				new StoreBatch(records.subList((int) from, records.size()), records.size()).ofEra(this.era));
 	}
 
 	@Override
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayedStoreTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayedStoreTest.java
@@ -70,6 +70,15 @@
 		assertEquals(this.directReads.get(), 0);
 	}
 
+	@Test
+	public void testRelayOfAnEarlierEraIsNotBelieved() {
+		this.cache.reset(new StoreBatch(List.of(record("restored")), 5).ofEra(1));
+		assertEquals(this.store.read(StoreTopic.OPERATOR, 10, 0).join().era(), 1);
+		this.cache.reset(new StoreBatch(List.of(record("old")), 10));
+		assertEquals(this.store.read(StoreTopic.OPERATOR, 10, 0).join().records().get(0).key(), "direct");
+		assertEquals(this.directReads.get(), 1);
+	}
+
 	@Test
 	public void testRelayAnswersWhenARecordComes() {
 		CompletableFuture<StoreBatch> answer = this.store.read(StoreTopic.OPERATOR, 11, 5_000);
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/TopicCacheTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/TopicCacheTest.java
@@ -16,6 +16,14 @@
 	private final TopicCache cache = new TopicCache((before, after) -> before.value().isPresent()
 			&& after.value().isPresent() && Arrays.equals(before.value().get(), after.value().get()));
 
+	@Test
+	public void testPeersThatWaitLearnOfANewEra() {
+		this.cache.reset(new StoreBatch(List.of(record("a", "1")), 10));
+		CompletableFuture<StoreBatch> answer = this.cache.read(10);
+		this.cache.reset(new StoreBatch(List.of(record("a", "1")), 8).ofEra(1));
+		assertEquals(answer.getNow(new StoreBatch(List.of(), 0)).era(), 1);
+	}
+
 	@Test
 	public void testPeersReadOnFromTheirOffset() {
 		this.cache.reset(new StoreBatch(List.of(record("a", "1")), 10));
--- a/ebonyford/src/main/java/org/ebonyford/directory/UpstreamEntry.java
+++ b/ebonyford/src/main/java/org/ebonyford/directory/UpstreamEntry.java
@@ -35,6 +35,15 @@
 		}
 	}
 
+	/**
+	 * Returns a copy that is draining.
+	 * @return the entry
+	 */
+	public UpstreamEntry asDraining() {
+		return new UpstreamEntry(this.id, this.service, this.host, this.port, this.dataCentre, this.slots, true,
+				this.coldMillis, this.startedAt);
+	}
+
 	/**
 	 * Returns whether another entry comes from the same start of the same upstream.
 	 * @param other the other entry
