Bound what reports tell of prompt parts, and count only successes as answers

A refusal by the engine, such as a 400, is no answer to the prompt, but cleared its parts. And a gateway that had many parts to tell of, or evidence with many parts, could send a datagram larger than a packet or store a record larger than the store takes. Found by reading; no run showed either. PartTrackerTest holds the first bound.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -752,14 +752,16 @@
 
 	/**
 	 * Reports that the upstream went on after the response. If only the end of the
-	 * connection marked the end of the response, the upstream may have crashed.
+	 * connection marked the end of the response, the upstream may have crashed. A
+	 * response that is no success is no answer to the prompt.
 	 * @param ended the attempt whose response is complete
+	 * @param success whether the response is a success
 	 */
-	private void reportCompleted(Attempt ended) {
+	private void reportCompleted(Attempt ended, boolean success) {
 		if (ended.endedByClose()) {
 			return;
 		}
-		if (ended.writingMillis().isPresent()) {
+		if (success && ended.writingMillis().isPresent()) {
 			this.context.suspects().recordSurvival(this.sharedParts);
 		}
 		if (!this.context.suspects().isEmpty()) {
@@ -777,7 +779,7 @@
 	@Override
 	public void responseReceived(Attempt ended, UpstreamResponse response) {
 		this.attempt = null;
-		reportCompleted(ended);
+		reportCompleted(ended, response.success());
 		if (this.done) {
 			return;
 		}
@@ -838,7 +840,7 @@
 	@Override
 	public void streamCompleted(Attempt ended, HttpResponse response) {
 		this.attempt = null;
-		reportCompleted(ended);
+		reportCompleted(ended, true);
 		if (this.done) {
 			return;
 		}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/UpstreamResponse.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/UpstreamResponse.java
@@ -16,6 +16,15 @@
 	 */
 	private static final int MIN_SERVER_ERROR_STATUS = 500;
 
+	/**
+	 * The lowest status code that is no success.
+	 */
+	private static final int MIN_NON_SUCCESS_STATUS = 300;
+
+	boolean success() {
+		return this.status < MIN_NON_SUCCESS_STATUS;
+	}
+
 	boolean serverError() {
 		return this.status >= MIN_SERVER_ERROR_STATUS;
 	}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/suspect/SuspectCoordinator.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/suspect/SuspectCoordinator.java
@@ -420,18 +420,31 @@
 	}
 
 	private static List<CrashEvidence> newestToStore(List<CrashEvidence> crashes) {
-		int requestCount = 0;
+		int size = 0;
 		int firstIndex = crashes.size();
-		while (firstIndex > 0 && requestCount + crashes.get(firstIndex - 1).requests().size() <= MAX_STORED_REQUESTS) {
+		while (firstIndex > 0 && size + size(crashes.get(firstIndex - 1)) <= MAX_STORED_REQUESTS) {
 			firstIndex--;
-			requestCount += crashes.get(firstIndex).requests().size();
+			size += size(crashes.get(firstIndex));
 		}
 		return crashes.subList(firstIndex, crashes.size());
 	}
 
+	/**
+	 * Returns the size of evidence in a report as a number of requests, each of which
+	 * takes as much as two parts of prompts.
+	 * @param crash the evidence
+	 * @return the number
+	 */
+	private static int size(CrashEvidence crash) {
+		return crash.requests().size()
+				+ crash.prompts().stream().mapToInt((prompt) -> 1 + prompt.parts().size() / 2).sum();
+	}
+
 	private void scheduleSend() {
-		int size = this.unsentCompletions.size()
-				+ this.unsentCrashes.values().stream().mapToInt(UnsentCrash::size).sum();
+		int size = this.unsentCompletions.size() + this.unsentCrashes.entrySet()
+			.stream()
+			.mapToInt((entry) -> size(entry.getValue().evidence(entry.getKey(), 0)))
+			.sum();
 		if (size >= CrashReport.MAX_REQUESTS) {
 			send();
 		}
@@ -445,9 +458,7 @@
 		this.sendScheduled = false;
 		long knownAtMillis = this.wallClock.millis();
 		List<CrashEvidence> evidence = new ArrayList<>();
-		this.unsentCrashes.forEach((incarnation, crash) -> evidence
-			.add(new CrashEvidence(incarnation.upstream(), incarnation.incarnation(), crash.requests,
-					crash.runningCount, knownAtMillis, List.copyOf(crash.prompts.values()))));
+		this.unsentCrashes.forEach((incarnation, crash) -> evidence.add(crash.evidence(incarnation, knownAtMillis)));
 		evidence.forEach((crash) -> log(this.publisher.name(), crash.upstream(), crash.incarnation(),
 				crash.requests().size(), crash.runningCount()));
 		if (!evidence.isEmpty() || !this.unsentCompletions.isEmpty() || !this.unsentStillRunning.isEmpty()) {
@@ -483,14 +494,9 @@
 
 		private int runningCount;
 
-		/**
-		 * Returns the size in a report as a number of requests, each of which takes as
-		 * much as two parts.
-		 * @return the number
-		 */
-		int size() {
-			return this.requests.size()
-					+ this.prompts.values().stream().mapToInt((prompt) -> 1 + prompt.parts().size() / 2).sum();
+		CrashEvidence evidence(CrashReport.UpstreamIncarnation incarnation, long knownAtMillis) {
+			return new CrashEvidence(incarnation.upstream(), incarnation.incarnation(), this.requests,
+					this.runningCount, knownAtMillis, List.copyOf(this.prompts.values()));
 		}
 
 	}
--- a/ebonyford/src/main/java/org/ebonyford/suspect/PartTracker.java
+++ b/ebonyford/src/main/java/org/ebonyford/suspect/PartTracker.java
@@ -68,6 +68,11 @@
 	 */
 	private static final int MIN_CRASHES_TO_ANNOUNCE = 2;
 
+	/**
+	 * The maximum number of parts that are told at a time, so that they fit a datagram.
+	 */
+	private static final int MAX_ANNOUNCED = 200;
+
 	/**
 	 * The maximum number of parts whose survival is remembered.
 	 */
@@ -258,7 +263,7 @@
 	}
 
 	/**
-	 * Returns the survivals that the other routers need to know, and counts them as told.
+	 * Returns survivals that the other routers need to know, and counts them as told.
 	 * @param now the router's clock reading in milliseconds
 	 * @return for each part, how long ago it survived, in milliseconds
 	 */
@@ -270,12 +275,11 @@
 			}
 		});
 		Map<Long, Long> ages = new LinkedHashMap<>();
-		for (long part : parts) {
-			Optional.ofNullable(this.survivals.get(part)).ifPresent((survival) -> {
-				ages.put(part, now - survival.atMillis());
-				announced(part, survival.atMillis());
-			});
-		}
+		parts.stream().filter(this.survivals::containsKey).limit(MAX_ANNOUNCED).forEach((part) -> {
+			long atMillis = this.survivals.get(part).atMillis();
+			ages.put(part, now - atMillis);
+			announced(part, atMillis);
+		});
 		return ages;
 	}
 
--- a/ebonyford/src/test/java/org/ebonyford/suspect/PartTrackerTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/suspect/PartTrackerTest.java
@@ -1,8 +1,10 @@
 package org.ebonyford.suspect;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.LongStream;
 
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -112,6 +114,20 @@
 		assertTrue(parts.takeSurvivalsToAnnounce(this.now).isEmpty());
 	}
 
+	@Test
+	public void testManySurvivalsAreAnnouncedInSeveralDatagrams() {
+		PartTracker parts = new PartTracker(SuspectSettings.DEFAULT);
+		Long[] many = LongStream.range(0, 300).boxed().toArray(Long[]::new);
+		for (int start = 0; start < many.length; start += UnansweredPrompt.MAX_PARTS) {
+			Long[] some = Arrays.copyOfRange(many, start, Math.min(start + UnansweredPrompt.MAX_PARTS, many.length));
+			crash(parts, 0, some);
+			crash(parts, 1, some);
+		}
+		parts.recordSurvival(this.now, List.of(many));
+		assertEquals(parts.takeSurvivalsToAnnounce(this.now).size(), 200);
+		assertEquals(parts.takeSurvivalsToAnnounce(this.now).size(), 100);
+	}
+
 	@Test
 	public void testSurvivalAtAnotherRouterEndsASuspicion() {
 		PartTracker parts = new PartTracker(SuspectSettings.DEFAULT);
