Keep an engine in use that registered again before the store's return

An engine whose entry was missing for a moment counted as gone for good. When the store then came back from an older copy, the engine was left out of the state that was read and dropped 2 s later. Found by reading the diff; the test is red without the change (503) and green with it.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreView.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreView.java
@@ -331,6 +331,7 @@
 			return;
 		}
 		remove(entry.id());
+		this.gone.removeIf(entry::sameStart);
 		Upstream created = this.upstreamFactory.apply(entry);
 		this.keptNotices.forEach((gone, notice) -> {
 			if (gone.sameStart(entry)) {
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/StoreRestoredTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/StoreRestoredTest.java
@@ -108,6 +108,20 @@
 		assertEquals(later.requests().size(), 1);
 	}
 
+	@Test
+	public void testUpstreamWhoseEntryWasMissingForAMomentStaysInUse() {
+		FakeUpstream upstream = this.fixture.upstream("u1", "reads", Script.ok("back"));
+		this.store.write(StoreTopic.UPSTREAMS, "u1", null);
+		GatewayFixture.await("the entry is missing", () -> this.fixture.log().contains("UPSTREAM_GONE"));
+		this.fixture.register("u1", "reads", upstream.port(), "dc1", false);
+		GatewayFixture.await("the entry is back",
+				() -> this.fixture.call("/read/1", "b", "").startsWith("HTTP/1.1 200 "));
+		this.copy = this.store.copy();
+		restore(StoreTopic.UPSTREAMS, 0);
+		sleep(2 * REREAD_MILLIS);
+		assertServed();
+	}
+
 	@Test(dataProvider = "writtenAgain")
 	public void testChangeAfterTheReturnIsSeen(int again) {
 		this.copy = this.store.copy();
