--- a/review/standins/Case2.java
+++ b/review/standins/Case2.java
@@ -6,125 +6,103 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * An engine preempts its newest streams while the gateway drains and the other engine is in an evacuated zone. Checks
- * that all streams are delivered to their end.
+ * The entry of an engine is removed and the store deletes old records before the gateways have read that. Checks that
+ * no payment reaches the engine later than the bound after the removal.
  */
 final class Case2 {
 
-	private static final int STREAMS = 8;
+	private static final int GATEWAYS = 6;
 
-	private static final int EVENTS = 50;
+	private static final int PAYMENTS = 8;
 
-	private static final long EVENT_MILLIS = 100;
+	private static final int ROUNDS = 6;
 
-	private static final long TIME_LIMIT_MILLIS = 12_000;
+	private static final long DRAIN_MILLIS = 2_000;
 
-	/** Retries are allowed from 10 s after the start of a gateway. */
-	private static final long WARM_UP_MILLIS = 12_000;
+	/** The engine goes on serving for a little longer than the bound, and then exits. */
+	private static final long SERVES_MILLIS = 3_500;
 
-	/** From the start of the streams. */
-	private static final long SIGTERM_AFTER_MILLIS = 1_500;
+	private static final long WORK_MILLIS = 400;
 
-	private static final long SILENCE_AFTER_MILLIS = 2_000;
+	private static final long TIME_LIMIT_MILLIS = 1_500;
 
-	/** How long a stream rests that the engine preempts and reads again. */
-	private static final long SILENCE_MILLIS = 1_600;
+	private static volatile String gone = "";
 
-	/** How many streams the engine preempts, the newest first. */
-	private static final int PREEMPTED = 2;
+	private static volatile long goneAt;
 
-	private static volatile long silentFrom = Long.MAX_VALUE;
-
-	private static final AtomicInteger runs = new AtomicInteger();
+	private static final Queue<String> late = new ConcurrentLinkedQueue<>();
 
 	public static void main(String[] arguments) {
 		Scene.main(arguments, Case2::play);
 	}
 
 	private static boolean play(Scene scene) throws Exception {
-		scene.configure(7, Scene.route("ask", "/ask/", "streaming", "pool", TIME_LIMIT_MILLIS, 2, true),
-				Scene.engineService("pool", 360), Scene.tenant("hule930", Caller.KEY));
-		scene.engine("i-a1", "pool", "kz-south-a", 64, (exchange) -> handle(scene, exchange));
-		scene.engine("i-b1", "pool", "kz-south-b", 64, (exchange) -> handle(scene, exchange));
-		Gateway gateway = scene.gateway("front-1", "kz-south-a");
-		gateway.awaitReady();
-		Tasks.sleep(WARM_UP_MILLIS);
-		scene.store.put("keyed.op", "evacuate/kz-south-b", "{}");
-		scene.record.line("the evacuation of kz-south-b is confirmed");
-		Tasks.sleep(6_000);
-		Queue<String> cut = new ConcurrentLinkedQueue<>();
-		AtomicInteger complete = new AtomicInteger();
-		long startedAt = System.nanoTime();
-		if (scene.trouble) {
-			silentFrom = startedAt + SILENCE_AFTER_MILLIS * 1_000_000;
+		scene.configure(7, Scene.route("pay", "/pay/", "non_idempotent", "booking-core", TIME_LIMIT_MILLIS, 1, false),
+				Scene.service("booking-core", 96), Scene.tenant("hule930", Caller.KEY));
+		List<Engine> engines = new ArrayList<>();
+		for (int number = 0; number <= ROUNDS; number++) {
+			engines.add(engine(scene, number));
 		}
-		List<Thread> threads = new ArrayList<>();
-		for (int number = 0; number < STREAMS; number++) {
-			threads.add(Tasks.start("caller", () -> ask(scene, gateway, cut, complete)));
+		List<Gateway> gateways = new ArrayList<>();
+		for (int number = 1; number <= GATEWAYS; number++) {
+			gateways.add(scene.gateway("front-" + number, "kz-south-" + "abc".charAt(number % 3)));
 		}
-		Tasks.sleep(SIGTERM_AFTER_MILLIS);
-		gateway.terminate();
-		Tasks.join(threads, 15_000);
-		gateway.awaitEnd(8_000 - SIGTERM_AFTER_MILLIS);
-		cut.forEach((text) -> scene.record.line("LOST: %s", text));
-		scene.record.result("streams %d, runs %d, complete %d, cut %d", STREAMS, runs.get(), complete.get(), cut.size());
-		if (complete.get() + cut.size() < STREAMS) {
-			throw new IllegalStateException("Not all streams began");
+		gateways.forEach(Gateway::awaitReady);
+		Tasks.sleep(8_000);
+		AtomicInteger paid = new AtomicInteger();
+		Queue<String> lost = new ConcurrentLinkedQueue<>();
+		for (int round = 1; round <= ROUNDS; round++) {
+			Engine leaving = engines.get(round);
+			leaving.deregister(scene.trouble);
+			goneAt = System.nanoTime();
+			gone = leaving.id;
+			Tasks.sleep(DRAIN_MILLIS + 1_000);
+			List<Thread> threads = new ArrayList<>();
+			for (Gateway gateway : gateways) {
+				for (int number = 0; number < PAYMENTS; number++) {
+					threads.add(Tasks.start("caller", () -> pay(scene, gateway, paid, lost)));
+				}
+			}
+			Tasks.sleep(SERVES_MILLIS - (System.nanoTime() - goneAt) / 1_000_000);
+			scene.record.line("engine %s exits", leaving.id);
+			leaving.close();
+			Tasks.join(threads, 5_000);
+			Tasks.sleep(2_000);
 		}
-		return !cut.isEmpty();
+		late.forEach((text) -> scene.record.line("DRAIN: %s", text));
+		lost.forEach((text) -> scene.record.line("no answer of an engine: %s", text));
+		scene.record.result(
+				"payments answered %d, reached an engine over %d ms after its removal %d, answered 502 or not at all %d",
+				paid.get(), DRAIN_MILLIS, late.size(), lost.size());
+		return !late.isEmpty();
 	}
 
-	private static void ask(Scene scene, Gateway gateway, Queue<String> cut, AtomicInteger complete) {
-		try (Caller caller = new Caller(gateway.callers())) {
-			String id = Caller.newId();
-			AtomicInteger events = new AtomicInteger();
-			caller.send("POST", "/ask/slopes", id, TIME_LIMIT_MILLIS,
-					"X-Ebonyford-Model: m\r\nX-Ebonyford-Token-Usage: 300,300\r\nX-Ebonyford-Prompt-Prefix: 5c1e07a2:200,"
-							+ id.substring(8) + ":100\r\n",
-					"how is the snow".getBytes());
-			Caller.Answer answer = caller.receive(TIME_LIMIT_MILLIS, events::incrementAndGet);
-			scene.record.line("stream %s: %s, %d events", id, answer, events.get());
-			if (answer.whole() && answer.status() == 200 && events.get() == EVENTS) {
-				complete.incrementAndGet();
-			}
-			else {
-				cut.add("stream " + id + " was answered " + answer + " after " + events.get() + " of " + EVENTS
-						+ " events");
+	private static Engine engine(Scene scene, int number) throws IOException {
+		return scene.engine("i-b" + number, "booking-core", "kz-south-a", 24, (exchange) -> {
+			Engine engine = exchange.engine();
+			String id = exchange.request().id();
+			scene.record.line("engine %s runs payment %s", engine.id, id);
+			long since = (System.nanoTime() - goneAt) / 1_000_000;
+			if (engine.id.equals(gone) && since > DRAIN_MILLIS) {
+				late.add("payment " + id + " reached engine " + engine.id + " " + since + " ms after its removal");
 			}
-		}
-		catch (IOException ex) {
-			scene.record.line("a stream could not be sent: %s", ex);
-		}
+			engine.running.incrementAndGet();
+			Tasks.sleep(WORK_MILLIS);
+			engine.running.decrementAndGet();
+			exchange.send("200 OK", exchange.seal(), ("paid " + id).getBytes());
+		});
 	}
 
-	private static void handle(Scene scene, Engine.Exchange exchange) throws IOException {
-		Engine engine = exchange.engine();
-		String id = exchange.request().id();
-		String after = exchange.request().header("Last-Event-Id");
-		scene.record.line("engine %s runs stream %s after event '%s'", engine.id, id, after);
-		boolean preempted = runs.incrementAndGet() > STREAMS - PREEMPTED;
-		engine.running.incrementAndGet();
-		try {
-			exchange.beginStream();
-			for (int number = after.isEmpty() ? 1 : Integer.parseInt(after) + 1; number <= EVENTS; number++) {
-				Tasks.sleep(EVENT_MILLIS);
-				long silent = SILENCE_MILLIS - (System.nanoTime() - silentFrom) / 1_000_000;
-				if (preempted && System.nanoTime() >= silentFrom && silent > 0) {
-					scene.record.line("engine %s preempts: no event for %d ms in stream %s", engine.id, silent, id);
-					Tasks.sleep(silent);
-				}
-				exchange.event(number, "piece " + number);
+	private static void pay(Scene scene, Gateway gateway, AtomicInteger paid, Queue<String> lost) {
+		try (Caller caller = new Caller(gateway.callers())) {
+			String id = Caller.newId();
+			Caller.Answer answer = caller.call("POST", "/pay/deposit", id, TIME_LIMIT_MILLIS, "",
+					("deposit " + id).getBytes());
+			scene.record.line("payment %s: %s", id, answer);
+			paid.incrementAndGet();
+			if (answer.status() == 502 || answer.status() <= 0) {
+				lost.add("payment " + id + ": " + answer);
 			}
-			exchange.endStream();
-			scene.record.line("engine %s has ended stream %s", engine.id, id);
-		}
-		catch (IOException ex) {
-			scene.record.line("the connection of stream %s at engine %s was closed: %s", id, engine.id,
-					ex.getMessage());
-			throw ex;
-		}
-		finally {
-			engine.running.decrementAndGet();
 		}
 	}
 
--- a/review/standins/Case4Evacuation.java
+++ b/review/standins/Case2Evacuation.java
@@ -6,7 +6,7 @@
  * The evacuation of a zone ends and the store deletes old records before the gateways have read that; then the other
  * zone is evacuated. Tells how many requests are still served.
  */
-final class Case4Evacuation {
+final class Case2Evacuation {
 
 	private static final int GATEWAYS = 6;
 
@@ -18,7 +18,7 @@
 	private static final long EVACUATE_MILLIS = 6_000;
 
 	public static void main(String[] arguments) {
-		Scene.main(arguments, Case4Evacuation::play);
+		Scene.main(arguments, Case2Evacuation::play);
 	}
 
 	private static boolean play(Scene scene) throws Exception {
--- a/review/standins/Case3.java
+++ b/review/standins/Case3.java
@@ -1,31 +1,39 @@
 import java.io.IOException;
-import java.io.InputStream;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Consumers with slow links are still receiving large answers when their gateway has been told to stop. Checks that
- * they get them whole.
+ * An engine preempts its newest streams while the gateway drains and the other engine is in an evacuated zone. Checks
+ * that all streams are delivered to their end.
  */
 final class Case3 {
 
-	private static final int CALLERS = 4;
+	private static final int STREAMS = 8;
 
-	private static final int REPORT_BYTES = 4_190_000;
+	private static final int EVENTS = 50;
 
-	private static final long TIME_LIMIT_MILLIS = 15_000;
+	private static final long EVENT_MILLIS = 100;
 
-	/** The rate of the consumers' links in bytes per millisecond. */
-	private static final int BYTES_PER_MILLI = 700;
+	private static final long TIME_LIMIT_MILLIS = 12_000;
 
-	private static final int RECEIVE_BUFFER = 65_536;
+	/** Retries are allowed from 10 s after the start of a gateway. */
+	private static final long WARM_UP_MILLIS = 12_000;
 
-	/** How long after the SIGTERM the consumers send their last request on their open connections. */
-	private static final long REQUEST_AFTER_MILLIS = 1_200;
+	/** From the start of the streams. */
+	private static final long SIGTERM_AFTER_MILLIS = 1_500;
+
+	private static final long SILENCE_AFTER_MILLIS = 2_000;
+
+	/** How long a stream rests that the engine preempts and reads again. */
+	private static final long SILENCE_MILLIS = 1_600;
+
+	/** How many streams the engine preempts, the newest first. */
+	private static final int PREEMPTED = 2;
+
+	private static volatile long silentFrom = Long.MAX_VALUE;
 
 	private static final AtomicInteger runs = new AtomicInteger();
 
@@ -34,92 +42,90 @@
 	}
 
 	private static boolean play(Scene scene) throws Exception {
-		scene.configure(7, Scene.route("read", "/read/", "idempotent", "booking-core", TIME_LIMIT_MILLIS, 2, false),
-				Scene.service("booking-core", 96), Scene.tenant("hule930", Caller.KEY));
-		for (int number = 1; number <= 2; number++) {
-			scene.engine("i-b" + number, "booking-core", "kz-south-a", 6, (exchange) -> handle(scene, exchange));
-		}
+		scene.configure(7, Scene.route("ask", "/ask/", "streaming", "pool", TIME_LIMIT_MILLIS, 2, true),
+				Scene.engineService("pool", 360), Scene.tenant("hule930", Caller.KEY));
+		scene.engine("i-a1", "pool", "kz-south-a", 64, (exchange) -> handle(scene, exchange));
+		scene.engine("i-b1", "pool", "kz-south-b", 64, (exchange) -> handle(scene, exchange));
 		Gateway gateway = scene.gateway("front-1", "kz-south-a");
 		gateway.awaitReady();
-		Tasks.sleep(4_000);
-		Queue<String> lost = new ConcurrentLinkedQueue<>();
+		Tasks.sleep(WARM_UP_MILLIS);
+		scene.store.put("keyed.op", "evacuate/kz-south-b", "{}");
+		scene.record.line("the evacuation of kz-south-b is confirmed");
+		Tasks.sleep(6_000);
+		Queue<String> cut = new ConcurrentLinkedQueue<>();
 		AtomicInteger complete = new AtomicInteger();
-		List<Caller> callers = new ArrayList<>();
-		for (int number = 0; number < CALLERS; number++) {
-			Caller caller = new Caller(gateway.callers(), RECEIVE_BUFFER);
-			callers.add(caller);
-			scene.record.line("first request on each connection: %s",
-					caller.call("GET", "/read/small", Caller.newId(), TIME_LIMIT_MILLIS, "", new byte[0]));
-		}
-		long stopsAt = System.nanoTime();
+		long startedAt = System.nanoTime();
 		if (scene.trouble) {
-			gateway.terminate();
+			silentFrom = startedAt + SILENCE_AFTER_MILLIS * 1_000_000;
 		}
-		Tasks.sleep(REQUEST_AFTER_MILLIS);
 		List<Thread> threads = new ArrayList<>();
-		for (Caller caller : callers) {
-			threads.add(Tasks.start("caller", () -> read(scene, caller, lost, complete)));
-		}
-		Tasks.join(threads, 20_000);
-		if (scene.trouble) {
-			gateway.awaitEnd(8_000 - (System.nanoTime() - stopsAt) / 1_000_000);
+		for (int number = 0; number < STREAMS; number++) {
+			threads.add(Tasks.start("caller", () -> ask(scene, gateway, cut, complete)));
 		}
-		lost.forEach((text) -> scene.record.line("LOST: %s", text));
-		scene.record.result("large answers asked for %d, run %d, whole %d, cut %d", CALLERS, runs.get(),
-				complete.get(), lost.size());
-		if (complete.get() + lost.size() < CALLERS) {
-			throw new IllegalStateException("Not all requests were sent on the connections that were open");
+		Tasks.sleep(SIGTERM_AFTER_MILLIS);
+		gateway.terminate();
+		Tasks.join(threads, 15_000);
+		gateway.awaitEnd(8_000 - SIGTERM_AFTER_MILLIS);
+		cut.forEach((text) -> scene.record.line("LOST: %s", text));
+		scene.record.result("streams %d, runs %d, complete %d, cut %d", STREAMS, runs.get(), complete.get(), cut.size());
+		if (complete.get() + cut.size() < STREAMS) {
+			throw new IllegalStateException("Not all streams began");
 		}
-		return !lost.isEmpty();
+		return !cut.isEmpty();
 	}
 
-	private static void read(Scene scene, Caller caller, Queue<String> lost, AtomicInteger complete) {
-		String id = Caller.newId();
-		try {
-			caller.send("GET", "/read/report", id, TIME_LIMIT_MILLIS, "", new byte[0]);
-			scene.record.line("request %s is sent", id);
-			InputStream in = caller.connect().getInputStream();
-			String status = Http.line(in);
-			Map<String, String> headers = Http.headers(in);
-			int length = Integer.parseInt(headers.get("Content-Length"));
-			long startedAt = System.nanoTime();
-			int read = 0;
-			byte[] buffer = new byte[16_384];
-			while (read < length) {
-				int count;
-				try {
-					count = in.read(buffer, 0, Math.min(buffer.length, length - read));
-				}
-				catch (IOException ex) {
-					scene.record.line("request %s: %s", id, ex);
-					count = -1;
-				}
-				if (count < 0) {
-					break;
-				}
-				read += count;
-				Tasks.sleep(read / BYTES_PER_MILLI - (System.nanoTime() - startedAt) / 1_000_000);
-			}
-			scene.record.line("request %s: %s, %d of %d bytes", id, status, read, length);
-			if (status.contains(" 200") && read == length) {
+	private static void ask(Scene scene, Gateway gateway, Queue<String> cut, AtomicInteger complete) {
+		try (Caller caller = new Caller(gateway.callers())) {
+			String id = Caller.newId();
+			AtomicInteger events = new AtomicInteger();
+			caller.send("POST", "/ask/slopes", id, TIME_LIMIT_MILLIS,
+					"X-Ebonyford-Model: m\r\nX-Ebonyford-Token-Usage: 300,300\r\nX-Ebonyford-Prompt-Prefix: 5c1e07a2:200,"
+							+ id.substring(8) + ":100\r\n",
+					"how is the snow".getBytes());
+			Caller.Answer answer = caller.receive(TIME_LIMIT_MILLIS, events::incrementAndGet);
+			scene.record.line("stream %s: %s, %d events", id, answer, events.get());
+			if (answer.whole() && answer.status() == 200 && events.get() == EVENTS) {
 				complete.incrementAndGet();
 			}
 			else {
-				lost.add("request " + id + " was answered '" + status + "' with " + read + " of " + length + " bytes");
+				cut.add("stream " + id + " was answered " + answer + " after " + events.get() + " of " + EVENTS
+						+ " events");
 			}
 		}
 		catch (IOException ex) {
-			scene.record.line("request %s: %s", id, ex);
+			scene.record.line("a stream could not be sent: %s", ex);
 		}
 	}
 
 	private static void handle(Scene scene, Engine.Exchange exchange) throws IOException {
-		scene.record.line("engine %s runs %s %s", exchange.engine().id, exchange.request().id(),
-				exchange.request().uri());
-		boolean report = exchange.request().uri().equals("/read/report");
-		runs.addAndGet(report ? 1 : 0);
-		Tasks.sleep(15);
-		exchange.send("200 OK", exchange.seal(), new byte[report ? REPORT_BYTES : 800]);
+		Engine engine = exchange.engine();
+		String id = exchange.request().id();
+		String after = exchange.request().header("Last-Event-Id");
+		scene.record.line("engine %s runs stream %s after event '%s'", engine.id, id, after);
+		boolean preempted = runs.incrementAndGet() > STREAMS - PREEMPTED;
+		engine.running.incrementAndGet();
+		try {
+			exchange.beginStream();
+			for (int number = after.isEmpty() ? 1 : Integer.parseInt(after) + 1; number <= EVENTS; number++) {
+				Tasks.sleep(EVENT_MILLIS);
+				long silent = SILENCE_MILLIS - (System.nanoTime() - silentFrom) / 1_000_000;
+				if (preempted && System.nanoTime() >= silentFrom && silent > 0) {
+					scene.record.line("engine %s preempts: no event for %d ms in stream %s", engine.id, silent, id);
+					Tasks.sleep(silent);
+				}
+				exchange.event(number, "piece " + number);
+			}
+			exchange.endStream();
+			scene.record.line("engine %s has ended stream %s", engine.id, id);
+		}
+		catch (IOException ex) {
+			scene.record.line("the connection of stream %s at engine %s was closed: %s", id, engine.id,
+					ex.getMessage());
+			throw ex;
+		}
+		finally {
+			engine.running.decrementAndGet();
+		}
 	}
 
 }
