--- a/review/standins/Case1.java
+++ b/review/standins/Case1.java
@@ -102,7 +102,7 @@
 		if (runs.size() < 1_000 || (scene.trouble && garbled.get() == 0)) {
 			throw new IllegalStateException("Too little was played");
 		}
-		return twice + refused + mixed > 0;
+		return twice > 0;
 	}
 
 	private static void pay(Scene scene, Gateway gateway, long until, AtomicInteger calls, Queue<String> broken) {
