Tell peers that wait at the relay when records before them are deleted

Cause: the relay checks whether it can answer an offset only when a read begins. When it has to read a topic anew, as the store deleted records that it had not read, a read that waits there is answered from the new state later on. A removed key has no record in that state, so the peer never learns of the removal.

Ruled out: that the relay itself misses the removal (it logs UPSTREAM_GONE, its three peers do not), and that the newest state is applied wrongly (one gateway alone is right).

Change: a reset of the cache ends the waiting reads that it no longer reaches, and the relay answers them 404, as it answers a read that begins too early. The peer then reads the store and learns of the deletion. RECORDS_DELETED tells of each topic that is read anew.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/GatewayEvent.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/GatewayEvent.java
@@ -88,6 +88,10 @@
 	ENGINES(24, true,
 			"Something was refused in the last second; the line tells how fast this gateway believes engines to be, how many it may use, and why not the others."),
 
+	/** Records of the store were deleted before this gateway read them. */
+	RECORDS_DELETED(27, true,
+			"The store deleted records of a topic before this gateway had read them; it reads the newest state instead."),
+
 	/** A request was read. */
 	REQUEST(30, false, "A request was read and its route found."),
 
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreFollower.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreFollower.java
@@ -80,13 +80,13 @@
 		this.storeView = storeView;
 		this.log = log;
 		addFeed(new StoreFeed.Plan(StoreTopic.OPERATOR, OPERATOR_LONG_POLL_MILLIS, 0), operatorAge,
-				new FeedListener(storeView::applyOperatorSnapshot, storeView::applyRestoredOperatorRecords,
-						storeView::applyOperatorRecord));
+				new FeedListener(StoreTopic.OPERATOR, storeView::applyOperatorSnapshot,
+						storeView::applyRestoredOperatorRecords, storeView::applyOperatorRecord));
 		addFeed(new StoreFeed.Plan(StoreTopic.UPSTREAMS, 0, UPSTREAMS_POLL_PAUSE_MILLIS), ageFactory.get(),
-				new FeedListener(storeView::applyUpstreamSnapshot, storeView::applyRestoredUpstreams,
-						storeView::applyUpstreamRecord));
+				new FeedListener(StoreTopic.UPSTREAMS, storeView::applyUpstreamSnapshot,
+						storeView::applyRestoredUpstreams, storeView::applyUpstreamRecord));
 		addFeed(new StoreFeed.Plan(StoreTopic.GATEWAYS, GATEWAYS_LONG_POLL_MILLIS, 0), ageFactory.get(),
-				new FeedListener(peering::applyAnnouncements, peering::applyRestoredAnnouncements,
+				new FeedListener(StoreTopic.GATEWAYS, peering::applyAnnouncements, peering::applyRestoredAnnouncements,
 						peering::applyAnnouncement));
 	}
 
@@ -132,6 +132,11 @@
 	 */
 	private final class FeedListener implements StoreFeed.Listener {
 
+		/**
+		 * The topic that the feed reads.
+		 */
+		private final StoreTopic topic;
+
 		/**
 		 * Applies a snapshot.
 		 */
@@ -147,7 +152,9 @@
 		 */
 		private final Consumer<StoreRecord> record;
 
-		FeedListener(Consumer<StoreBatch> newest, Consumer<StoreBatch> restored, Consumer<StoreRecord> record) {
+		FeedListener(StoreTopic topic, Consumer<StoreBatch> newest, Consumer<StoreBatch> restored,
+				Consumer<StoreRecord> record) {
+			this.topic = topic;
 			this.newest = newest;
 			this.restored = restored;
 			this.record = record;
@@ -178,6 +185,13 @@
 			StoreFollower.this.storeAnswers = Optional.of(true);
 		}
 
+		@Override
+		public void forgotten(long from) {
+			StoreFollower.this.log.write(LogLine.of(GatewayEvent.RECORDS_DELETED)
+				.with("topic", String.valueOf(this.topic))
+				.with("from", from));
+		}
+
 		@Override
 		public void failed(Throwable cause) {
 			if (StoreFollower.this.storeAnswers.orElse(true)) {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayServer.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayServer.java
@@ -102,9 +102,14 @@
 			CompletableFuture<StoreBatch> records = source.cache().read(from);
 			Future<?> timeout = context.executor()
 				.schedule(() -> records.complete(source.cache().since(from)), wait, TimeUnit.MILLISECONDS);
-			records.thenRun(() -> {
+			records.whenComplete((batch, failure) -> {
 				timeout.cancel(false);
-				answer(context, source, from);
+				if (failure == null) {
+					answer(context, source, from);
+				}
+				else {
+					write(context, HttpResponseStatus.NOT_FOUND, new byte[0]);
+				}
 			});
 		}
 
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreFeed.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreFeed.java
@@ -199,6 +199,7 @@
 	private void failed(Throwable failure) {
 		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
 		if (cause instanceof StoreException exception && exception.forgotten()) {
+			this.listener.forgotten(this.next);
 			this.next = -1;
 			readNow();
 			return;
@@ -256,6 +257,13 @@
 		 */
 		void answered();
 
+		/**
+		 * Notes that records were deleted before they were read. {@link #newest} follows.
+		 * @param from the offset of the first of them, negative if the newest state could
+		 * not be read whole
+		 */
+		void forgotten(long from);
+
 		/**
 		 * Notes that a call failed.
 		 * @param cause why
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/TopicCache.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/TopicCache.java
@@ -55,7 +55,9 @@
 	}
 
 	/**
-	 * Takes the newest state of the topic, and forgets what was known.
+	 * Takes the newest state of the topic, and forgets what was known. Peers that wait at
+	 * an offset before it are told that they cannot be answered, since a removal that
+	 * they have not read leaves no record in the new state.
 	 * @param batch the newest record of each key
 	 */
 	public void reset(StoreBatch batch) {
@@ -67,6 +69,15 @@
 			this.era = batch.era();
 			answerWaiting();
 		}
+		else {
+			failUnreachable();
+		}
+	}
+
+	private void failUnreachable() {
+		List<Waiting> behind = this.waiting.stream().filter((peer) -> !reaches(peer.from())).toList();
+		behind.forEach((peer) -> peer.answer()
+			.completeExceptionally(new StoreException("Records from " + peer.from() + " on were deleted", true)));
 	}
 
 	private void answerWaiting() {
@@ -109,7 +120,7 @@
 	 * Returns the newest records from an offset on, at once if there are any and
 	 * otherwise as soon as there are.
 	 * @param from the offset
-	 * @return the records in their order
+	 * @return the records in their order; fails if some are deleted while none has come
 	 */
 	public CompletableFuture<StoreBatch> read(long from) {
 		StoreBatch batch = since(from);
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/FakeStore.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/FakeStore.java
@@ -59,6 +59,14 @@
 		this.topics.forEach((topic, records) -> this.first.put(topic, records.size()));
 	}
 
+	/**
+	 * Writes a record and deletes it at once, so that no reader sees it.
+	 */
+	synchronized void writeAndForgetHistory(StoreTopic topic, String key, String value) {
+		write(topic, key, value);
+		forgetHistory();
+	}
+
 	/**
 	 * Returns a copy, from which the store can come back later.
 	 */
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayedStoreTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayedStoreTest.java
@@ -98,6 +98,15 @@
 		assertEquals(this.store.read(StoreTopic.OPERATOR, 9, 0).join().records().get(0).key(), "direct");
 	}
 
+	@Test
+	public void testStoreIsReadWhereTheRelayMissesRecordsWhileAPeerWaits() {
+		CompletableFuture<StoreBatch> answer = this.store.read(StoreTopic.OPERATOR, 11, 5_000);
+		this.group.next()
+			.schedule(() -> this.cache.reset(new StoreBatch(List.of(record("kept")), 14)), 100, TimeUnit.MILLISECONDS);
+		assertEquals(answer.orTimeout(3, TimeUnit.SECONDS).join().records().get(0).key(), "direct");
+		assertEquals(this.directReads.get(), 1);
+	}
+
 	@Test
 	public void testStoreIsReadWhereTheRelayIsGone() {
 		this.listener.close().syncUninterruptibly();
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/TopicCacheTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/TopicCacheTest.java
@@ -24,6 +24,21 @@
 		assertEquals(answer.getNow(new StoreBatch(List.of(), 0)).era(), 1);
 	}
 
+	/**
+	 * The deleted records may hold a removal that the waiting peer has not read.
+	 */
+	@Test
+	public void testPeerThatWaitsBeforeDeletedRecordsIsNotAnswered() {
+		this.cache.reset(new StoreBatch(List.of(record("a", "1"), record("b", "1")), 10));
+		CompletableFuture<StoreBatch> behind = this.cache.read(10);
+		CompletableFuture<StoreBatch> current = this.cache.read(12);
+		this.cache.reset(new StoreBatch(List.of(record("a", "1")), 12));
+		assertTrue(behind.isCompletedExceptionally());
+		assertFalse(current.isDone());
+		this.cache.add(new StoreBatch(List.of(record("c", "1")), 13));
+		assertEquals(keys(current.join()), "c");
+	}
+
 	@Test
 	public void testPeersReadOnFromTheirOffset() {
 		this.cache.reset(new StoreBatch(List.of(record("a", "1")), 10));
