Keep records of relayed batches at offsets that no peer takes for read

Relayed batches leave out repeated entries, so their records may lie later. A peer whose own offset lies inside the batch would have taken a removal for read, and would have missed an entry that came back equal after a removal.

Evidence: two new tests in TopicCacheTest were red before ("expected [ba] but found []", "expected [a] but found []").

Change: where a batch holds fewer records than offsets, its records count as the last ones of the batch, and repeated entries move there too. A record may so be sent to a peer once more; it never says less than the peer knows. The order in which records were read is kept for equal offsets.

After: TopicCacheTest, RelayedStoreTest, DeletedRecordsTest and StoreRestoredTest are green.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/TopicCache.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/TopicCache.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -21,9 +21,9 @@
 	private final BiPredicate<StoreRecord, StoreRecord> same;
 
 	/**
-	 * The newest record of each key.
+	 * The newest record of each key, in the order in which they were read.
 	 */
-	private final Map<String, Kept> newest = new HashMap<>();
+	private final Map<String, Kept> newest = new LinkedHashMap<>();
 
 	/**
 	 * Whoever waits for a record.
@@ -87,19 +87,24 @@
 	}
 
 	/**
-	 * Takes the records that follow.
+	 * Takes the records that follow. A batch that another gateway relayed may leave out
+	 * repeated entries and then does not tell the offsets of its records: they count as
+	 * the last ones, so that no peer takes them for read.
 	 * @param batch the records
 	 */
 	public void add(StoreBatch batch) {
 		boolean changed = false;
-		long offset = this.next;
+		boolean whole = batch.records().size() == batch.next() - this.next;
+		long offset = whole ? this.next : batch.next() - 1;
 		for (StoreRecord record : batch.records()) {
 			Kept before = this.newest.get(record.key());
-			if (before == null || !this.same.test(before.record(), record)) {
+			boolean repeated = before != null && this.same.test(before.record(), record);
+			if (!repeated || !whole) {
+				this.newest.remove(record.key());
 				this.newest.put(record.key(), new Kept(record, offset));
-				changed = true;
 			}
-			offset++;
+			changed = changed || !repeated;
+			offset += whole ? 1 : 0;
 		}
 		this.next = batch.next();
 		if (changed) {
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/TopicCacheTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/TopicCacheTest.java
@@ -49,6 +49,28 @@
 		assertEquals(this.cache.since(10).next(), 12);
 	}
 
+	/**
+	 * A batch from another relay leaves out repeated entries, so it does not tell which
+	 * offsets its records have.
+	 */
+	@Test
+	public void testPeerInsideARelayedBatchGetsItsRecords() {
+		this.cache.reset(new StoreBatch(List.of(record("a", "1")), 10));
+		this.cache.add(new StoreBatch(List.of(record("b", "1"), new StoreRecord("a", Optional.empty())), 20));
+		assertEquals(keys(this.cache.since(15)), "ba");
+		assertEquals(keys(this.cache.since(20)), "");
+	}
+
+	/**
+	 * The peer has read the removal that lies between two equal entries.
+	 */
+	@Test
+	public void testPeerInsideARelayedBatchLearnsOfAnEntryThatCameBack() {
+		this.cache.reset(new StoreBatch(List.of(record("a", "1")), 10));
+		this.cache.add(new StoreBatch(List.of(record("a", "1")), 20));
+		assertEquals(keys(this.cache.since(15)), "a");
+	}
+
 	@Test
 	public void testWhatWasRemovedBeforeTheStartIsNotKnown() {
 		assertFalse(this.cache.reaches(0));
