Look for another upstream before a silent attempt is cancelled

Cause: the progress check cancelled the attempt once a repeat was allowed, and placed the request only then. Where placement found nothing (one upstream, or the others evacuated, draining or full), the answer was aborted.

Ruled out: the planned stop (the same without one), and the silence of the upstream as a whole (its other streams go on).

Change: the check chooses the other upstream first, with the same placement, and fails over to that choice; only then does it take from the retry budget. Until there is a choice the attempt goes on, bounded by its deadline. SILENT tells so, once an attempt; lines of such requests are always written.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -212,6 +212,11 @@
 	 */
 	private Attempt attempt;
 
+	/**
+	 * Whether it was logged that the current attempt is silent and goes on all the same.
+	 */
+	private boolean silenceLogged;
+
 	/**
 	 * The number of upstreams that may have run the request.
 	 */
@@ -478,12 +483,9 @@
 			return;
 		}
 		long now = this.context.clock().millis();
-		List<Upstream> candidates = candidates(now);
-		PlacementTerms terms = terms(now);
-		this.context.metrics().observeMillis("ebonyford_sums_age_ms", "", this.context.shares().sumsAgeMillis(now));
-		Optional<Choice> choice = this.service.placement()
-			.choose(this.work, ServiceState.states(candidates), terms, now);
-		if (choice.isEmpty()) {
+		List<Upstream> candidates = candidates(this.tried, now);
+		Optional<Target> target = chooseTarget(candidates, now);
+		if (target.isEmpty()) {
 			giveUp(candidates.isEmpty() ? "no upstream can be used" : "no upstream has room", upstreamsRetryMillis());
 			return;
 		}
@@ -491,36 +493,43 @@
 			giveUp("the process is about to end", UNAVAILABLE_RETRY_MILLIS);
 			return;
 		}
-		boolean admitted = AdmissionControl.admits(choice.get(), terms);
+		Choice choice = target.get().choice();
+		PlacementTerms terms = target.get().terms();
+		boolean admitted = AdmissionControl.admits(choice, terms);
 		if (this.turn.limited()) {
 			this.service.overShareWatch(this.organisation, this.turn).recordResult(admitted, now);
 		}
 		if (this.arrivals == 0 && !admitted) {
-			refuseNotAdmitted(choice.get(), terms);
+			refuseNotAdmitted(choice, terms);
 			return;
 		}
-		Upstream upstream = candidates.stream()
-			.filter((candidate) -> candidate.state() == choice.get().upstream())
-			.findFirst()
-			.orElseThrow();
 		if (!this.countedAsServed) {
 			this.countedAsServed = true;
 			this.context.refusals().admitted(this.organisation, this.turn.admitted(), this.work.shareTokens());
 			this.context.shares().recordServed(this.organisation.hashCode(), this.work.shareTokens(), now);
 			this.context.requestSent(this.organisation);
 		}
-		send(upstream, choice.get(), terms);
+		send(target.get());
+	}
+
+	private Optional<Target> chooseTarget(List<Upstream> candidates, long now) {
+		PlacementTerms terms = terms(now);
+		this.context.metrics().observeMillis("ebonyford_sums_age_ms", "", this.context.shares().sumsAgeMillis(now));
+		return this.service.placement()
+			.choose(this.work, ServiceState.states(candidates), terms, now)
+			.map((choice) -> new Target(candidates, choice, terms));
 	}
 
 	/**
 	 * Returns the upstreams to which the request may be sent. Crashed upstreams look
 	 * idle, so after meeting an unreachable one the request goes only to upstreams that
 	 * sent something recently, if there are any.
+	 * @param excluded the identifiers of upstreams that are left out
 	 * @param now the current time in milliseconds
 	 * @return the upstreams
 	 */
-	private List<Upstream> candidates(long now) {
-		List<Upstream> usable = this.context.candidates(this.service, this.tried);
+	private List<Upstream> candidates(Set<String> excluded, long now) {
+		List<Upstream> usable = this.context.candidates(this.service, excluded);
 		if (!this.unreachableSeen) {
 			return usable;
 		}
@@ -591,10 +600,11 @@
 			.with("slowness", choice.upstream().slowness(this.context.clock().millis()));
 	}
 
-	private void send(Upstream upstream, Choice choice, PlacementTerms terms) {
-		this.requestLog.add(placedLine(choice, terms).with("taken", true));
+	private void send(Target target) {
+		this.requestLog.add(placedLine(target.choice(), target.terms()).with("taken", true));
 		this.attempt = new Attempt(this.context.clock(), this.context.adapter().headers(),
-				this.context.responseMemory(), this, this, upstream, choice);
+				this.context.responseMemory(), this, this, target.upstream(), target.choice());
+		this.silenceLogged = false;
 		if (repeatable()) {
 			scheduleProgressCheck();
 		}
@@ -602,8 +612,9 @@
 	}
 
 	/**
-	 * Checks the attempt at a regular interval, and tries another upstream if the
-	 * response makes no progress for too long.
+	 * Checks the attempt at a regular interval, and moves the request to another upstream
+	 * if the response makes no progress for too long. The attempt is cancelled only once
+	 * another upstream is found for the request: the silent one may still go on.
 	 */
 	private void scheduleProgressCheck() {
 		if (this.progressCheck != null) {
@@ -613,11 +624,10 @@
 			if (this.done || this.attempt == null) {
 				return;
 			}
-			if (overdue(this.attempt) && mayRepeat() && takeRetryBudget()) {
-				Attempt silent = this.attempt;
-				silent.cancel();
-				silent.state().health().recordEnded(true, this.context.clock().millis());
-				handleFailure(silent, "no progress of the response for " + silent.silentMillis() + " ms", true);
+			Optional<Target> target = (overdue(this.attempt) && mayRepeat()) ? failoverTarget(this.attempt)
+					: Optional.empty();
+			if (target.isPresent() && takeRetryBudget()) {
+				failOver(this.attempt, target.get());
 			}
 			else {
 				scheduleProgressCheck();
@@ -625,6 +635,39 @@
 		}, PROGRESS_CHECK_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	private Optional<Target> failoverTarget(Attempt silent) {
+		long now = this.context.clock().millis();
+		Set<String> excluded = new HashSet<>(this.tried);
+		excluded.add(silent.state().entry().id());
+		List<Upstream> candidates = heldAsSuspect() ? List.of() : candidates(excluded, now);
+		Optional<Target> target = candidates.isEmpty() ? Optional.empty() : chooseTarget(candidates, now);
+		if (target.isEmpty() && !this.silenceLogged) {
+			this.silenceLogged = true;
+			this.requestLog.markNotable()
+				.add(LogLine.of(GatewayEvent.SILENT)
+					.with("request", this.id)
+					.with("upstream", silent.state().entry().id())
+					.with("silent_ms", silent.silentMillis())
+					.with("candidates", candidates.size())
+					.with("begun", this.streamStarted));
+		}
+		return target;
+	}
+
+	private boolean heldAsSuspect() {
+		SuspectCoordinator suspects = this.context.suspects();
+		return !suspects.isEmpty() && (suspects.suspectedForMillis(fingerprint(), this.sharedParts) > 0
+				|| suspects.awaitsEvaluation(fingerprint(), this.sharedParts));
+	}
+
+	private void failOver(Attempt silent, Target target) {
+		silent.cancel();
+		silent.state().health().recordEnded(true, this.context.clock().millis());
+		recordBroken(silent, "no progress of the response for " + silent.silentMillis() + " ms");
+		recordRetry();
+		send(target);
+	}
+
 	private boolean overdue(Attempt current) {
 		double expectedMillis = current.choice().firstByteMillis();
 		if (!stream()) {
@@ -689,13 +732,17 @@
 	}
 
 	private void retry() {
+		recordRetry();
+		place();
+	}
+
+	private void recordRetry() {
 		this.context.metrics().count("ebonyford_retries", "service=\"" + this.serviceName + "\"");
 		this.requestLog.add(LogLine.of(GatewayEvent.RETRIED)
 			.with("request", this.id)
 			.with("runs", this.runs)
 			.with("after_event", this.lastEventId)
 			.with("remaining_ms", remainingMillis()));
-		place();
 	}
 
 	@Override
@@ -718,11 +765,21 @@
 	}
 
 	private void handleFailure(Attempt ended, String reason, boolean again) {
+		recordBroken(ended, reason);
+		if (again) {
+			retry();
+		}
+		else {
+			giveUp("there is no whole answer from the upstream", 0);
+		}
+	}
+
+	private void recordBroken(Attempt ended, String reason) {
 		this.attempt = null;
 		this.arrivals++;
 		this.runs++;
 		this.tried.add(ended.state().entry().id());
-		this.requestLog.markFailed()
+		this.requestLog.markNotable()
 			.add(LogLine.of(GatewayEvent.BROKEN)
 				.with("request", this.id)
 				.with("upstream", ended.state().entry().id())
@@ -733,12 +790,6 @@
 				.with("begun", this.streamStarted)
 				.with("writing_ms", ended.writingMillis().orElse(-1))
 				.with("parts", sharedPartsText()));
-		if (again) {
-			retry();
-		}
-		else {
-			giveUp("there is no whole answer from the upstream", 0);
-		}
 	}
 
 	private Optional<UnansweredPrompt> unansweredPrompt(Attempt ended) {
@@ -855,7 +906,7 @@
 		if (this.done) {
 			return;
 		}
-		this.requestLog.markFailed()
+		this.requestLog.markNotable()
 			.add(LogLine.of(GatewayEvent.CALLER_LEFT)
 				.with("request", this.id)
 				.with("after_ms", this.context.clock().millis() - this.startedAt)
@@ -915,7 +966,7 @@
 	private void giveUp(String reason, double retryMillis) {
 		if (this.streamStarted) {
 			this.responder.abort();
-			this.requestLog.markFailed();
+			this.requestLog.markNotable();
 			finish("cut: " + reason, 0);
 		}
 		else if (this.errorResponse.isPresent()) {
@@ -937,7 +988,7 @@
 		if (retryMillis > 0) {
 			headers.set(HttpHeaderNames.RETRY_AFTER, formatSeconds(retryMillis));
 		}
-		this.requestLog.markFailed()
+		this.requestLog.markNotable()
 			.add(() -> LogLine.of(GatewayEvent.REFUSED)
 				.with("request", this.id)
 				.with("status", status)
@@ -1050,4 +1101,22 @@
 				Unpooled.wrappedBuffer(body), headers, EmptyHttpHeaders.INSTANCE);
 	}
 
+	/**
+	 * Where a request can be sent.
+	 *
+	 * @param candidates the upstreams that were considered
+	 * @param choice the choice among them
+	 * @param terms the terms of the choice
+	 */
+	private record Target(List<Upstream> candidates, Choice choice, PlacementTerms terms) {
+
+		Upstream upstream() {
+			return this.candidates.stream()
+				.filter((candidate) -> candidate.state() == this.choice.upstream())
+				.findFirst()
+				.orElseThrow();
+		}
+
+	}
+
 }
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/RequestLog.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/RequestLog.java
@@ -7,9 +7,9 @@
 import org.ebonyford.gateway.log.LogLine;
 
 /**
- * Buffers the log lines of one request and writes them when it ends: always if it failed,
- * otherwise for a sample of the requests. This bounds the volume of the log and keeps
- * failures complete.
+ * Buffers the log lines of one request and writes them when it ends: always if it failed
+ * or an upstream was silent, otherwise for a sample of the requests. This bounds the
+ * volume of the log and keeps failures complete.
  */
 final class RequestLog {
 
@@ -34,9 +34,10 @@
 	private final List<Long> times = new ArrayList<>(4);
 
 	/**
-	 * Whether the request failed, so that its lines are always written.
+	 * Whether the request failed or an upstream was silent, so that its lines are always
+	 * written.
 	 */
-	private boolean failed;
+	private boolean notable;
 
 	/**
 	 * Whether lines that are composed on demand are skipped.
@@ -73,13 +74,13 @@
 		this.context.log().countDropped();
 	}
 
-	RequestLog markFailed() {
-		this.failed = true;
+	RequestLog markNotable() {
+		this.notable = true;
 		return this;
 	}
 
 	void write() {
-		if (!this.failed && !this.context.sampleSuccess()) {
+		if (!this.notable && !this.context.sampleSuccess()) {
 			return;
 		}
 		for (int index = 0; index < this.lines.size(); index++) {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/GatewayEvent.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/GatewayEvent.java
@@ -114,7 +114,11 @@
 	FINISHED(36, false, "The answer to a request ended; the line tells its outcome."),
 
 	/** The caller disconnected. */
-	CALLER_LEFT(37, false, "The caller closed its connection before the answer ended.");
+	CALLER_LEFT(37, false, "The caller closed its connection before the answer ended."),
+
+	/** An answer makes no progress and no other upstream can take the request. */
+	SILENT(38, false,
+			"An answer makes no progress; the attempt goes on, as no other upstream can take the request at present.");
 
 	/**
 	 * The number in the event's code.
