Hold kept connections to the limits in force

Cause: the limits were copied into the connection and its decoder when it was made.

Ruled out: that the configuration comes into force late (CONFIGURATION is logged at once, new connections are right).

Change: a connection asks for the limits in force. What is being read or waited for is held to the greater of the limits when it began and now, as a caller may go by either while the configuration changes. The decoder, whose limit on heads is fixed, is replaced when bytes arrive between two requests; what it has buffered goes to the new one.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerConnection.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerConnection.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.function.Supplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -56,9 +57,9 @@
 	private final Clock clock;
 
 	/**
-	 * The limits in force when the connection was made.
+	 * The limits in force.
 	 */
-	private final CallerLimits limits;
+	private final Supplier<CallerLimits> limitsInForce;
 
 	/**
 	 * Encodes the answers.
@@ -90,6 +91,12 @@
 	 */
 	private OpenRequest open;
 
+	/**
+	 * The limits that were in force when the request being read, or the wait for one,
+	 * began.
+	 */
+	private CallerLimits limitsAtStart;
+
 	/**
 	 * When the last answer ended, or the connection or the request being read began, in
 	 * milliseconds.
@@ -106,10 +113,11 @@
 	 */
 	private boolean closing;
 
-	CallerConnection(CallerServer server, Clock clock, CallerLimits limits, AnswerEncoder encoder) {
+	CallerConnection(CallerServer server, Clock clock, Supplier<CallerLimits> limits, AnswerEncoder encoder) {
 		this.server = server;
 		this.clock = clock;
-		this.limits = limits;
+		this.limitsInForce = limits;
+		this.limitsAtStart = limits.get();
 		this.encoder = encoder;
 	}
 
@@ -119,6 +127,16 @@
 		this.since = this.clock.millis();
 	}
 
+	/**
+	 * Returns the limits on what is being read. A caller may still go by the
+	 * configuration that was in force when it began, or already by a newer one.
+	 * @return the limits, the greater of each two if the configuration has changed
+	 */
+	private CallerLimits limits() {
+		CallerLimits inForce = this.limitsInForce.get();
+		return (inForce == this.limitsAtStart) ? inForce : this.limitsAtStart.orMore(inForce);
+	}
+
 	/**
 	 * Closes the connection if a limit on time was exceeded, or if it is idle and the
 	 * process is about to end.
@@ -130,14 +148,14 @@
 		}
 		long waited = this.clock.millis() - this.since;
 		if (this.reading) {
-			if (waited > this.limits.headerMillis() && this.head == null) {
+			if (waited > limits().headerMillis() && this.head == null) {
 				refuse(HttpResponseStatus.REQUEST_TIMEOUT);
 			}
-			else if (waited > this.limits.idleMillis()) {
+			else if (waited > limits().idleMillis()) {
 				refuse(HttpResponseStatus.REQUEST_TIMEOUT);
 			}
 		}
-		else if (waited > (ending ? CallerServer.QUIET_MILLIS : this.limits.idleMillis())) {
+		else if (waited > (ending ? CallerServer.QUIET_MILLIS : limits().idleMillis())) {
 			this.closing = true;
 			this.channel.close();
 		}
@@ -177,14 +195,26 @@
 		return this.server;
 	}
 
+	/**
+	 * Prepares for bytes that have arrived, before they are decoded.
+	 */
 	void bytes() {
+		replaceOutdatedDecoder();
 		if (this.open == null && !this.reading) {
 			this.reading = true;
 			this.since = this.clock.millis();
+			this.limitsAtStart = this.limitsInForce.get();
 			this.server.busy(this);
 		}
 	}
 
+	private void replaceOutdatedDecoder() {
+		StrictRequestDecoder decoder = this.channel.pipeline().get(StrictRequestDecoder.class);
+		if (decoder != null && decoder.outdated(this.limitsInForce.get())) {
+			this.channel.pipeline().replace(decoder, null, new StrictRequestDecoder(this.limitsInForce.get()));
+		}
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		if (this.closing) {
@@ -226,7 +256,7 @@
 		if (!proper(request)) {
 			refuse(HttpResponseStatus.BAD_REQUEST);
 		}
-		else if (HttpUtil.getContentLength(request, 0L) > this.limits.bodyBytes()) {
+		else if (HttpUtil.getContentLength(request, 0L) > limits().bodyBytes()) {
 			refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
 		}
 		else if (HttpUtil.is100ContinueExpected(request)) {
@@ -236,7 +266,7 @@
 
 	private void add(HttpContent content) {
 		ByteBuf part = content.content();
-		if (this.body.size() + part.readableBytes() > this.limits.bodyBytes()) {
+		if (this.body.size() + part.readableBytes() > limits().bodyBytes()) {
 			refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
 			return;
 		}
@@ -320,6 +350,7 @@
 	private void ended(boolean keep) {
 		this.open = null;
 		this.since = this.clock.millis();
+		this.limitsAtStart = this.limitsInForce.get();
 		if (!keep) {
 			this.closing = true;
 			this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerServer.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerServer.java
@@ -33,7 +33,7 @@
 	private final Clock clock;
 
 	/**
-	 * The limits for new connections.
+	 * The limits in force.
 	 */
 	private final Supplier<CallerLimits> limits;
 
@@ -87,7 +87,7 @@
 	/**
 	 * Creates a server without connections.
 	 * @param clock the clock
-	 * @param limits the limits for new connections
+	 * @param limits the limits in force
 	 * @param handler takes the requests
 	 * @param refusals is told the status of each request that is refused as improper
 	 * @param bounds how many connections there may be
@@ -104,9 +104,8 @@
 	@Override
 	protected void initChannel(SocketChannel channel) {
 		this.cameAt = this.clock.millis();
-		CallerLimits now = this.limits.get();
 		AnswerEncoder encoder = new AnswerEncoder();
-		CallerConnection connection = new CallerConnection(this, this.clock, now, encoder);
+		CallerConnection connection = new CallerConnection(this, this.clock, this.limits, encoder);
 		this.connections.add(connection);
 		if (this.connections.size() > this.bounds.maxOpen() && !this.idle.isEmpty()) {
 			this.idle.iterator().next().closeIdle();
@@ -114,7 +113,7 @@
 		this.idle.add(connection);
 		channel.pipeline()
 			.addLast(new Arrivals(connection))
-			.addLast(new StrictRequestDecoder(now))
+			.addLast(new StrictRequestDecoder(this.limits.get()))
 			.addLast(encoder)
 			.addLast(connection);
 	}
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -87,6 +87,8 @@
 
 	private final Map<String, InetSocketAddress> bound;
 
+	private CallerLimits limits = new CallerLimits(4_096, 1_000, 500, 2_000);
+
 	private long version;
 
 	GatewayFixture() {
@@ -131,6 +133,16 @@
 		this.store.write(StoreTopic.OPERATOR, "catalog", String.valueOf(this.version));
 	}
 
+	/**
+	 * Puts a configuration with other limits in force.
+	 */
+	void limit(CallerLimits changed) {
+		this.limits = changed;
+		configure();
+		await("the limits are in force",
+				() -> log().contains("\"event\":\"CONFIGURATION\",\"version\":" + this.version));
+	}
+
 	FakeStore store() {
 		return this.store;
 	}
@@ -257,8 +269,7 @@
 				new ServiceDefinition(route.service(0), "/health", 100, route.service(0).equals("colds") ? 4 : 0,
 						route.service(0).equals("models")
 								? Optional.of(new EngineProfile(ENGINE_SLOTS, 1_000_000, false)) : Optional.empty())));
-		return new Catalog(number, RouteTable.of(routes), services, new CallerLimits(4_096, 1_000, 500, 2_000), 0,
-				Optional.of(Map.copyOf(this.keys)));
+		return new Catalog(number, RouteTable.of(routes), services, this.limits, 0, Optional.of(Map.copyOf(this.keys)));
 	}
 
 	private static Route route(String prefix, RouteKind kind, String service, long timeout, boolean open) {
--- a/ebonyford/src/main/java/org/ebonyford/catalog/CallerLimits.java
+++ b/ebonyford/src/main/java/org/ebonyford/catalog/CallerLimits.java
@@ -15,4 +15,15 @@
 	 */
 	public static final CallerLimits DEFAULT = new CallerLimits(16_384, 4_194_304, 3_000, 15_000);
 
+	/**
+	 * Returns limits that allow whatever these limits or others allow.
+	 * @param other the other limits
+	 * @return the greater of each two limits
+	 */
+	public CallerLimits orMore(CallerLimits other) {
+		return new CallerLimits(Math.max(this.headerBytes, other.headerBytes),
+				Math.max(this.bodyBytes, other.bodyBytes), Math.max(this.headerMillis, other.headerMillis),
+				Math.max(this.idleMillis, other.idleMillis));
+	}
+
 }
