Count no stray bytes where an answer ends with its connection

FaultyUpstreamTest.testAnswerThatEndsWithItsConnectionLeavesNoStrayBytes was red before. After: green, with TornAnswerTest, BrokenAnswerTest and EndlessAnswerTest.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamConnection.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamConnection.java
@@ -340,11 +340,12 @@
 		this.ended = false;
 		UpstreamListener awaiting = this.listener;
 		this.listener = null;
-		if (this.decoder.hasRemainder()) {
+		boolean open = this.keepAlive && this.channel.isActive();
+		if (open && this.decoder.hasRemainder()) {
 			this.spoiled = true;
 			strayBytes();
 		}
-		this.reusable = this.keepAlive && this.written && !this.spoiled;
+		this.reusable = open && this.written && !this.spoiled;
 		if (this.reusable) {
 			this.idle = true;
 			this.channel.config().setAutoRead(true);
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/FaultyUpstreamTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/FaultyUpstreamTest.java
@@ -132,6 +132,17 @@
 		assertTrue(answer.startsWith("HTTP/1.1 50") && !answer.startsWith("HTTP/1.1 503"), answer + this.fixture.log());
 	}
 
+	@Test
+	public void testAnswerThatEndsWithItsConnectionLeavesNoStrayBytes() {
+		this.fixture.upstream("u1", "pays", (request, out, connection) -> {
+			Script.send(out, Script.head(request, "200 OK", "Seal: s1\r\n") + "done");
+			connection.close();
+		});
+		String answer = this.fixture.call("/pay/1", "a1", "");
+		assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("done"), answer);
+		assertFalse(this.fixture.metrics().contains("ebonyford_stray_bytes"), this.fixture.metrics());
+	}
+
 	@DataProvider
 	public Object[][] errors() {
 		return new Object[][] { { "500 Error", "Seal: s2\r\n" }, { "503 Busy", "Not-Run: 1\r\n" }, { "429 Busy", "" },
