Keep to the limit on requests that upstreams name

Cause: nothing read the header. Ruled out: that refusals of the upstream bound the rate by themselves.

Change: UpstreamRateLimit counts a gateway's requests to an upstream over 4 s against its share of the limit; where shares would be under three requests, some gateways use the upstream and the others try it now and then, at times spread by their names. The division is shared with that of cold upstreams. 1.25 of the limit is divided, as callers come unevenly; the bound is 1.5. UPSTREAM_LIMIT and engines_limited tell of it.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Attempt.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Attempt.java
@@ -1,6 +1,7 @@
 package org.ebonyford.gateway.exchange;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 import io.netty.buffer.ByteBuf;
@@ -349,6 +350,9 @@
 			return;
 		}
 		UpstreamHealth health = state().health();
+		if (response.headers().contains(this.headerNames.requestId())) {
+			recordRequestLimit(health, RequestLimit.perSecond(response.headers(), this.headerNames.requestLimit()));
+		}
 		if (response.headers().contains(this.headerNames.leaving())) {
 			health.notice(health.notice().withLeaving());
 		}
@@ -358,6 +362,13 @@
 		}
 	}
 
+	private void recordRequestLimit(UpstreamHealth health, OptionalDouble perSecond) {
+		if (!perSecond.equals(health.notice().requestsPerSecond())) {
+			health.notice(health.notice().withRequestsPerSecond(perSecond));
+			this.listener.requestLimitChanged(this, perSecond);
+		}
+	}
+
 	@Override
 	public void complete() {
 		if (this.ended) {
@@ -531,6 +542,15 @@
 		 */
 		void responseProgressed(Attempt attempt);
 
+		/**
+		 * Called when the upstream names another limit on requests than before, or no
+		 * longer names one.
+		 * @param attempt the attempt
+		 * @param perSecond the requests per second that it takes from all gateways
+		 * together, empty if there is no limit
+		 */
+		void requestLimitChanged(Attempt attempt, OptionalDouble perSecond);
+
 		/**
 		 * Called when no connection to the upstream could be acquired.
 		 * @param attempt the attempt
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -682,6 +683,15 @@
 		return repeatable() && this.runs + 1 < this.route.maxAttempts() && remainingMillis() > MIN_REMAINING_MILLIS;
 	}
 
+	@Override
+	public void requestLimitChanged(Attempt current, OptionalDouble perSecond) {
+		this.context.log()
+			.write(LogLine.of(GatewayEvent.UPSTREAM_LIMIT)
+				.with("upstream", current.state().entry().id())
+				.with("service", this.serviceName)
+				.with("requests_per_second", perSecond.orElse(-1)));
+	}
+
 	@Override
 	public void upstreamUnreachable(Attempt ended, String reason) {
 		handleDecline(ended, reason, true);
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/EngineTally.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/EngineTally.java
@@ -111,7 +111,12 @@
 		 * The engine is cold, and this gateway's share of its cold request rate is used
 		 * up.
 		 */
-		COLD
+		COLD,
+
+		/**
+		 * The engine has named a limit on requests, and this gateway's share is used up.
+		 */
+		LIMITED
 
 	}
 
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -507,9 +508,11 @@
 			UpstreamState state = upstream.state();
 			boolean withinColdLimit = withinColdLimit(service, state, now);
 			EngineTally.ExclusionReason reason = state.entry().draining() ? EngineTally.ExclusionReason.LEAVING
-					: !state.health().usable(now) ? EngineTally.ExclusionReason.LEFT_OUT : !upstream.pool().room()
-							? EngineTally.ExclusionReason.NO_CONNECTION
-							: !withinColdLimit ? EngineTally.ExclusionReason.COLD : EngineTally.ExclusionReason.NONE;
+					: !state.health().usable(now) ? EngineTally.ExclusionReason.LEFT_OUT
+							: !upstream.pool().room() ? EngineTally.ExclusionReason.NO_CONNECTION
+									: !withinColdLimit ? EngineTally.ExclusionReason.COLD
+											: !withinRequestLimit(state, now) ? EngineTally.ExclusionReason.LIMITED
+													: EngineTally.ExclusionReason.NONE;
 			tally.add(state, reason, now);
 		});
 		return Optional.of(tally.toLogLine(service.pace()));
@@ -737,7 +740,8 @@
 			UpstreamEntry entry = upstream.state().entry();
 			if (!entry.draining() && !tried.contains(entry.id())
 					&& !this.storeView.evacuated().contains(entry.dataCentre()) && upstream.state().health().usable(now)
-					&& upstream.pool().room() && withinColdLimit(service, upstream.state(), now)) {
+					&& upstream.pool().room() && withinColdLimit(service, upstream.state(), now)
+					&& withinRequestLimit(upstream.state(), now)) {
 				usable.add(upstream);
 			}
 		}
@@ -754,6 +758,12 @@
 			.requestsPerSecond(state.entry().id(), limit, this.peering.self(), this.peering.names());
 	}
 
+	private boolean withinRequestLimit(UpstreamState state, long now) {
+		OptionalDouble limit = state.health().notice().requestsPerSecond();
+		return limit.isEmpty() || (this.peering.peersKnown()
+				&& state.rateLimit().permits(limit.getAsDouble(), this.peering.self(), this.peering.names(), now));
+	}
+
 	@Override
 	public RetryBudget retryBudget() {
 		return this.retries;
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/wire/HeaderNames.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/wire/HeaderNames.java
@@ -14,12 +14,15 @@
  * @param seal the seal of an upstream's answer
  * @param notExecuted marks an answer to a request that was not run
  * @param leaving marks the answers of an upstream that is about to end
+ * @param requestLimit the requests a second that the answering upstream takes from all
+ * gateways together
  * @param memorySource the address of the engine from which an engine fetches the memory
  * of shared parts of a prompt, set by the gateway
  * @param reserved further headers that only a gateway may set
  */
 public record HeaderNames(String requestId, String deadlineMillis, String organisation, String expectedUpstream,
-		String seal, String notExecuted, String leaving, String memorySource, Set<String> reserved) {
+		String seal, String notExecuted, String leaving, String requestLimit, String memorySource,
+		Set<String> reserved) {
 
 	/**
 	 * Creates names.
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/exchange/TornAnswerTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/exchange/TornAnswerTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -48,7 +49,7 @@
 public class TornAnswerTest {
 
 	private static final HeaderNames NAMES = new HeaderNames("Id", "Deadline", "Organisation", "Expected", "Seal",
-			"Not-Run", "Leaving", "Memory-Source", Set.of());
+			"Not-Run", "Leaving", "Limit", "Memory-Source", Set.of());
 
 	/**
 	 * Long enough for bytes on loopback to be read.
@@ -395,6 +396,10 @@
 		public void responseProgressed(Attempt attempt) {
 		}
 
+		@Override
+		public void requestLimitChanged(Attempt attempt, OptionalDouble perSecond) {
+		}
+
 		@Override
 		public void upstreamUnreachable(Attempt attempt, String reason) {
 			this.outcome.complete("unreachable: " + reason);
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -284,7 +284,7 @@
 
 		@Override
 		public HeaderNames headers() {
-			return new HeaderNames("Id", "Deadline", "Organisation", "Expected", "Seal", "Not-Run", "Leaving",
+			return new HeaderNames("Id", "Deadline", "Organisation", "Expected", "Seal", "Not-Run", "Leaving", "Limit",
 					"Memory-Source", Set.of("Hold"));
 		}
 
--- a/ebonyford/src/main/java/org/ebonyford/placement/AvailabilityNotice.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/AvailabilityNotice.java
@@ -1,19 +1,24 @@
 package org.ebonyford.placement;
 
+import java.util.OptionalDouble;
+
 /**
  * What an upstream has announced in its answers: that it is leaving, which the router may
- * learn later from the store, or that it sheds load for some time. A notice holds for one
- * start of the upstream; only a restart revokes it.
+ * learn later from the store, that it sheds load for some time, or that it takes only so
+ * many requests a second. A notice holds for one start of the upstream; apart from the
+ * request rate, only a restart revokes it.
  *
  * @param leaving whether the upstream is about to end
  * @param waitUntil the time until which it accepts no requests, in milliseconds
+ * @param requestsPerSecond the requests per second that it takes from all routers
+ * together, empty if its last answer named no limit
  */
-public record AvailabilityNotice(boolean leaving, long waitUntil) {
+public record AvailabilityNotice(boolean leaving, long waitUntil, OptionalDouble requestsPerSecond) {
 
 	/**
 	 * No notice: the upstream accepts requests.
 	 */
-	public static final AvailabilityNotice NONE = new AvailabilityNotice(false, Long.MIN_VALUE);
+	public static final AvailabilityNotice NONE = new AvailabilityNotice(false, Long.MIN_VALUE, OptionalDouble.empty());
 
 	/**
 	 * The maximum time in milliseconds for which an upstream can exclude itself, so that
@@ -26,7 +31,7 @@
 	 * @return the notice
 	 */
 	public AvailabilityNotice withLeaving() {
-		return new AvailabilityNotice(true, this.waitUntil);
+		return new AvailabilityNotice(true, this.waitUntil, this.requestsPerSecond);
 	}
 
 	/**
@@ -38,7 +43,17 @@
 	 */
 	public AvailabilityNotice withWait(long waitMillis, long now) {
 		return new AvailabilityNotice(this.leaving,
-				Math.max(this.waitUntil, now + Math.max(0, Math.min(waitMillis, MAX_WAIT_MILLIS))));
+				Math.max(this.waitUntil, now + Math.max(0, Math.min(waitMillis, MAX_WAIT_MILLIS))),
+				this.requestsPerSecond);
+	}
+
+	/**
+	 * Returns this notice for an upstream whose latest answer names a limit, or none.
+	 * @param perSecond the requests per second that it takes from all routers together
+	 * @return the notice
+	 */
+	public AvailabilityNotice withRequestsPerSecond(OptionalDouble perSecond) {
+		return new AvailabilityNotice(this.leaving, this.waitUntil, perSecond);
 	}
 
 	/**
--- a/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
+++ b/ebonyford/src/main/java/org/ebonyford/placement/UpstreamState.java
@@ -9,6 +9,7 @@
 import org.ebonyford.directory.ReportInterval;
 import org.ebonyford.directory.UpstreamEntry;
 import org.ebonyford.retry.SlidingWindowCounter;
+import org.ebonyford.retry.UpstreamRateLimit;
 
 /**
  * This router's view of one start of an upstream: its load, health, prefix cache and
@@ -78,6 +79,11 @@
 	 */
 	private final SlidingWindowCounter coldRequests = new SlidingWindowCounter(1_000, 20);
 
+	/**
+	 * Bounds the requests to it while it announces a limit.
+	 */
+	private final UpstreamRateLimit rateLimit;
+
 	/**
 	 * The ratio of the actual to the expected time of its requests.
 	 */
@@ -134,6 +140,7 @@
 	 */
 	public UpstreamState(UpstreamEntry entry, LongSupplier memoryTokens, IntSupplier routers, long now) {
 		this.hash = Rendezvous.hash(entry.id());
+		this.rateLimit = new UpstreamRateLimit(entry.id(), now);
 		this.memoryTokens = memoryTokens;
 		this.routers = routers;
 		this.prefixCache = new PrefixCache(
@@ -218,6 +225,14 @@
 		return this.coldRequests.sum(now);
 	}
 
+	/**
+	 * Returns the bound on the requests to it while it announces a limit.
+	 * @return the limit, which counts the requests that are recorded here
+	 */
+	public UpstreamRateLimit rateLimit() {
+		return this.rateLimit;
+	}
+
 	/**
 	 * Records that a request is sent.
 	 * @param load its load
@@ -230,6 +245,7 @@
 		if (cold(now)) {
 			this.coldRequests.add(1, now);
 		}
+		this.rateLimit.recordRequest(now);
 		this.ownLoad = this.ownLoad.plus(load);
 	}
 
--- a/ebonyford/src/main/java/org/ebonyford/retry/ColdUpstreamLimit.java
+++ b/ebonyford/src/main/java/org/ebonyford/retry/ColdUpstreamLimit.java
@@ -2,13 +2,9 @@
 
 import java.util.Collection;
 
-import org.ebonyford.directory.Rendezvous;
-
 /**
  * Divides the request rate that a cold upstream can bear among the routers. Where each
- * share would be too small, only some routers use the upstream while it is cold; all
- * routers choose the same ones by rendezvous hashing of the upstream's identifier and the
- * routers' names.
+ * share would be too small, only some routers use the upstream while it is cold.
  */
 public final class ColdUpstreamLimit {
 
@@ -18,13 +14,6 @@
 	 */
 	private static final double DIVIDED_FRACTION = 0.7;
 
-	/**
-	 * The minimum share, in requests per second, with which a router uses a cold
-	 * upstream: with less, waiting for the next second costs more than leaving the
-	 * upstream to other routers.
-	 */
-	private static final int MIN_SHARE = 3;
-
 	private ColdUpstreamLimit() {
 	}
 
@@ -39,14 +28,7 @@
 	 */
 	public static int requestsPerSecond(String upstream, double limitPerSecond, String self,
 			Collection<String> routers) {
-		int divided = (int) Math.floor(limitPerSecond * DIVIDED_FRACTION);
-		int share = divided / Math.max(routers.size(), 1);
-		if (share >= MIN_SHARE) {
-			return share;
-		}
-		int users = Math.max(divided / MIN_SHARE, 1);
-		boolean chosen = Rendezvous.order(upstream, routers).stream().limit(users).anyMatch(self::equals);
-		return chosen ? Math.min(divided, MIN_SHARE) : 0;
+		return DividedAllowance.share(upstream, (int) Math.floor(limitPerSecond * DIVIDED_FRACTION), self, routers);
 	}
 
 }
