Tell stray bytes from the rest of an answer that was given up

Two tests of FaultyUpstreamTest were red before (testAnswerThatIsNotTakenLeavesNoStrayBytes, the copy in testSecondAnswerAtOnceIsToldAsStrayBytes). Only what is counted changes; the connection is closed in both cases, as before.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamConnection.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/UpstreamConnection.java
@@ -255,18 +255,21 @@
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		try {
+			DecoderResult decoded = ((HttpObject) message).decoderResult();
 			if (this.ended) {
 				this.keepAlive = false;
-				return;
+				strayBytes();
 			}
-			DecoderResult decoded = ((HttpObject) message).decoderResult();
-			if (this.listener == null || decoded.isFailure()) {
+			else if (this.listener == null) {
+				this.channel.close();
+			}
+			else if (decoded.isFailure()) {
 				strayBytes();
-				abandon("bytes that are no answer to the request"
-						+ (decoded.isFailure() ? ": " + describe(decoded.cause()) : ""), false);
-				return;
+				abandon("bytes that are no answer to the request: " + describe(decoded.cause()), false);
+			}
+			else {
+				read(message);
 			}
-			read(message);
 		}
 		finally {
 			ReferenceCountUtil.release(message);
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/FaultyUpstreamTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/FaultyUpstreamTest.java
@@ -132,6 +132,25 @@
 		assertTrue(answer.startsWith("HTTP/1.1 50") && !answer.startsWith("HTTP/1.1 503"), answer + this.fixture.log());
 	}
 
+	@Test
+	public void testAnswerThatIsNotTakenLeavesNoStrayBytes() {
+		this.fixture.upstream("u1", "pays", (request, out, connection) -> Script.send(out,
+				Script.head(request, "200 OK", "Transfer-Encoding: chunked\r\n") + "4\r\ndone\r\n0\r\n\r\n"));
+		assertTrue(this.fixture.call("/pay/1", "a1", "").startsWith("HTTP/1.1 502"), "it has no seal");
+		assertFalse(this.fixture.metrics().contains("ebonyford_stray_bytes"), this.fixture.metrics());
+	}
+
+	@Test
+	public void testSecondAnswerAtOnceIsToldAsStrayBytes() {
+		this.fixture.upstream("u1", "pays", (request, out, connection) -> {
+			String answer = Script.head(request, "200 OK", "Seal: s1\r\nContent-Length: 4\r\n") + "done";
+			Script.send(out, answer + answer);
+		});
+		assertTrue(this.fixture.call("/pay/1", "a1", "").startsWith("HTTP/1.1 200"));
+		GatewayFixture.await("the second answer is counted",
+				() -> this.fixture.metrics().contains("ebonyford_stray_bytes{service=\"pays\"} 1"));
+	}
+
 	@Test
 	public void testAnswerThatEndsWithItsConnectionLeavesNoStrayBytes() {
 		this.fixture.upstream("u1", "pays", (request, out, connection) -> {
