Read the store again before sending requests after a stall

What callers saw: a gateway that had been held up for some seconds sent payments to an upstream that had left meanwhile; some had no answer when it exited.

Cause: requests wait in the sockets while the process stands still, and its reads of the store are sent only afterwards. Requests are refused as late until one timer runs in time, some 50 ms; from then until the store's answer they were sent by the list from before the stall. The age of the configuration was compared with the bound of keys only (4.1 s). Ruled out: the relay alone, as reads there end after a second.

Change: StallGuard notes when the process did not run for over half a second; what is older than 1.5 s then is outdated until it is read again, from the store itself. Requests, repeats and failovers wait for that for 0.25 s at most, then get a true 503. Without a stall, or while the store is away, what is known stays in use.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -84,6 +84,18 @@
 	 */
 	private static final long CRASH_VERDICT_POLL_MILLIS = 50;
 
+	/**
+	 * Interval in milliseconds at which a request checks whether the store has answered
+	 * after the process was held up.
+	 */
+	private static final long STORE_VIEW_POLL_MILLIS = 20;
+
+	/**
+	 * Maximum time in milliseconds for which a request waits for that: many round trips
+	 * to the store.
+	 */
+	private static final long MAX_STORE_VIEW_WAIT_MILLIS = 250;
+
 	/**
 	 * The retry delay in milliseconds after a refusal for lack of a usable configuration
 	 * or upstream.
@@ -280,6 +292,12 @@
 	 */
 	private RefusalTally.Cause refusalCause = RefusalTally.Cause.OTHER;
 
+	/**
+	 * Since when the request waits for an answer of the store, in milliseconds, negative
+	 * if it does not.
+	 */
+	private long storeViewAwaitedSince = -1;
+
 	/**
 	 * Whether the parts of the prompt were reported to have survived.
 	 */
@@ -319,6 +337,9 @@
 			refuse(503, "no configuration is known", UNAVAILABLE_RETRY_MILLIS);
 			return;
 		}
+		if (awaitsStoreView(this::start)) {
+			return;
+		}
 		Catalog catalog = this.context.catalog().get();
 		Optional<Route> found = catalog.routes()
 			.find(this.request.headers().get(HttpHeaderNames.HOST, ""), this.request.path());
@@ -386,6 +407,32 @@
 		refuse(503, "the gateway is behind", retryMillis);
 	}
 
+	/**
+	 * Delays the request while what this process read from the store is outdated, as the
+	 * process was held up, and refuses it if the store does not answer soon.
+	 * @param next what to do once the store has answered
+	 * @return whether the request must not be handled now
+	 */
+	private boolean awaitsStoreView(Runnable next) {
+		long now = this.context.clock().millis();
+		if (this.context.storeViewCurrent()) {
+			this.storeViewAwaitedSince = -1;
+			return false;
+		}
+		this.storeViewAwaitedSince = (this.storeViewAwaitedSince < 0) ? now : this.storeViewAwaitedSince;
+		if (now - this.storeViewAwaitedSince > MAX_STORE_VIEW_WAIT_MILLIS) {
+			this.refusalCause = RefusalTally.Cause.BEHIND;
+			giveUp("the gateway was held up and the store has not answered since", UNAVAILABLE_RETRY_MILLIS);
+			return true;
+		}
+		this.context.eventLoop().schedule(() -> {
+			if (!this.done) {
+				next.run();
+			}
+		}, STORE_VIEW_POLL_MILLIS, TimeUnit.MILLISECONDS);
+		return true;
+	}
+
 	private boolean authenticated(Catalog catalog) {
 		if (this.route.open() || catalog.keys().isEmpty()) {
 			return true;
@@ -480,7 +527,7 @@
 	 * attributed.
 	 */
 	private void place() {
-		if (this.done || refusedOrDelayedAsSuspect()) {
+		if (this.done || awaitsStoreView(this::place) || refusedOrDelayedAsSuspect()) {
 			return;
 		}
 		long now = this.context.clock().millis();
@@ -625,8 +672,8 @@
 			if (this.done || this.attempt == null) {
 				return;
 			}
-			Optional<Target> target = (overdue(this.attempt) && mayRepeat()) ? failoverTarget(this.attempt)
-					: Optional.empty();
+			boolean mayFailOver = overdue(this.attempt) && mayRepeat() && this.context.storeViewCurrent();
+			Optional<Target> target = mayFailOver ? failoverTarget(this.attempt) : Optional.empty();
 			if (target.isPresent() && takeRetryBudget()) {
 				failOver(this.attempt, target.get());
 			}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/ExchangeContext.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/ExchangeContext.java
@@ -76,6 +76,14 @@
 	 */
 	boolean keysCurrent();
 
+	/**
+	 * Returns whether what this process read from the store may be used, after it was
+	 * held up or suspended only once it has been read again. While the store is away,
+	 * what is known is used.
+	 * @return {@code false} from the end of a stall until the store has answered
+	 */
+	boolean storeViewCurrent();
+
 	/**
 	 * Returns whether a new request can finish before the process ends.
 	 * @param stream whether the response is a stream, which may last long
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/GatewayEvent.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/GatewayEvent.java
@@ -96,6 +96,10 @@
 	STRAY_BYTES(28, true,
 			"An upstream sent bytes that belong to no request, such as a second copy of an answer; the connection is closed."),
 
+	/** The process was held up. */
+	HELD_UP(39, true,
+			"The process was held up, and what it read before is too old; it reads the store again before it sends further requests."),
+
 	/** An upstream has named a limit on requests or lifted it. */
 	UPSTREAM_LIMIT(29, true,
 			"An upstream has named another limit on requests a second in its answers, or, with -1, names none any more."),
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -31,6 +31,7 @@
 import org.ebonyford.directory.RouterRoster;
 import org.ebonyford.directory.UpstreamEntry;
 import org.ebonyford.freshness.Freshness;
+import org.ebonyford.freshness.StallGuard;
 import org.ebonyford.gateway.caller.CallerServer;
 import org.ebonyford.gateway.exchange.Exchange;
 import org.ebonyford.gateway.exchange.ExchangeContext;
@@ -217,6 +218,11 @@
 	 */
 	private final Freshness catalogFreshness;
 
+	/**
+	 * Detects that the process was held up.
+	 */
+	private final StallGuard stalls = new StallGuard();
+
 	/**
 	 * The connections of callers.
 	 */
@@ -444,6 +450,7 @@
 
 	private void tick() {
 		long now = this.clock.millis();
+		storeViewCurrent();
 		if (this.catalogFreshness.checkDivergence()) {
 			handleClockDivergence();
 		}
@@ -518,6 +525,18 @@
 		return Optional.of(tally.toLogLine(service.pace()));
 	}
 
+	@Override
+	public boolean storeViewCurrent() {
+		long now = this.clock.millis();
+		boolean stalled = this.stalls.check(now);
+		boolean outdated = this.stalls.outdated(this.storeFollower.ageMillis(), now);
+		if (stalled && outdated) {
+			this.log.write(LogLine.of(GatewayEvent.HELD_UP).with("view_age_ms", this.storeFollower.ageMillis()));
+			this.storeFollower.readNow();
+		}
+		return !outdated || !this.storeFollower.storeAnswers();
+	}
+
 	private void handleClockDivergence() {
 		this.log.write(LogLine.of(GatewayEvent.CLOCKS_DIVERGED));
 		this.calls.closeIdle();
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreFollower.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreFollower.java
@@ -119,6 +119,15 @@
 		return this.feeds.get(topic);
 	}
 
+	/**
+	 * Returns the age of the older one of the configuration and the list of upstreams.
+	 * @return the age in milliseconds, {@link Freshness#UNKNOWN_AGE} if one is unknown
+	 */
+	long ageMillis() {
+		return Math.max(this.feeds.get(StoreTopic.OPERATOR).ageMillis(),
+				this.feeds.get(StoreTopic.UPSTREAMS).ageMillis());
+	}
+
 	/**
 	 * Returns whether the store answers, directly or through a peer.
 	 * @return {@code false} if the last call failed
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/MetadataStore.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/MetadataStore.java
@@ -26,6 +26,17 @@
 	 */
 	CompletableFuture<StoreBatch> read(StoreTopic topic, long from, long waitMillis);
 
+	/**
+	 * Reads records in their order, without a wait and not through a peer, whose own
+	 * records may be old.
+	 * @param topic the topic
+	 * @param from the offset of the first record
+	 * @return the records, none if there are none yet
+	 */
+	default CompletableFuture<StoreBatch> readNow(StoreTopic topic, long from) {
+		return read(topic, from, 0);
+	}
+
 	/**
 	 * Appends a record.
 	 * @param topic the topic
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
@@ -101,10 +101,15 @@
 		return answer;
 	}
 
+	@Override
+	public CompletableFuture<StoreBatch> readNow(StoreTopic topic, long from) {
+		return this.store.readNow(topic, from).thenApply(this::recordEra);
+	}
+
 	private void direct(StoreTopic topic, long from, CompletableFuture<StoreBatch> answer) {
-		this.store.read(topic, from, 0).whenComplete((batch, failure) -> {
+		readNow(topic, from).whenComplete((batch, failure) -> {
 			if (failure == null) {
-				answer.complete(recordEra(batch));
+				answer.complete(batch);
 			}
 			else {
 				answer.completeExceptionally(failure);
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreFeed.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreFeed.java
@@ -114,15 +114,23 @@
 	 * before counts as old.
 	 */
 	public void readNow() {
+		read(true);
+	}
+
+	private void readOn() {
+		read(this.freshness.ageMillis() == Freshness.UNKNOWN_AGE);
+	}
+
+	private void read(boolean urgent) {
 		if (this.closed) {
 			return;
 		}
 		int current = ++this.call;
 		Freshness.ReadStart mark = this.freshness.startRead();
 		boolean known = this.next >= 0;
-		long wait = (this.freshness.ageMillis() == Freshness.UNKNOWN_AGE) ? 0 : this.plan.waitMillis();
-		CompletableFuture<StoreBatch> answer = known ? this.store.read(this.plan.topic(), this.next, wait)
-				: this.store.newest(this.plan.topic());
+		CompletableFuture<StoreBatch> answer = !known ? this.store.newest(this.plan.topic())
+				: urgent ? this.store.readNow(this.plan.topic(), this.next)
+						: this.store.read(this.plan.topic(), this.next, this.plan.waitMillis());
 		answer.whenComplete((batch, failure) -> {
 			if (current == this.call && !this.closed) {
 				answered(known, mark, batch, failure);
@@ -213,7 +221,7 @@
 		int current = this.call;
 		this.loop.schedule(() -> {
 			if (current == this.call) {
-				readNow();
+				readOn();
 			}
 		}, millis, TimeUnit.MILLISECONDS);
 	}
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
@@ -37,6 +38,7 @@
 import org.ebonyford.gateway.log.EventLog;
 import org.ebonyford.gateway.settings.GatewaySettings;
 import org.ebonyford.gateway.store.MetadataStore;
+import org.ebonyford.gateway.store.StoreBatch;
 import org.ebonyford.gateway.store.StoreTopic;
 import org.ebonyford.gateway.wire.Adapter;
 import org.ebonyford.gateway.wire.HeaderNames;
@@ -91,6 +93,8 @@
 
 	private long version;
 
+	private volatile long readDelayMillis;
+
 	GatewayFixture() {
 		this(4_000);
 	}
@@ -151,6 +155,13 @@
 		return this.gateway;
 	}
 
+	/**
+	 * Lets the store answer reads only after some time.
+	 */
+	void delayReads(long millis) {
+		this.readDelayMillis = millis;
+	}
+
 	void revoke() {
 		this.keys.clear();
 		configure();
@@ -316,7 +327,7 @@
 
 		@Override
 		public MetadataStore store(HttpCalls calls, InetSocketAddress address) {
-			return GatewayFixture.this.view;
+			return new DelayedStore();
 		}
 
 		@Override
@@ -326,4 +337,43 @@
 
 	}
 
+	/**
+	 * The store, whose answers arrive on the event loop after the delay of reads.
+	 */
+	private final class DelayedStore implements MetadataStore {
+
+		@Override
+		public CompletableFuture<StoreBatch> newest(StoreTopic topic) {
+			return delayed(GatewayFixture.this.view.newest(topic));
+		}
+
+		@Override
+		public CompletableFuture<StoreBatch> read(StoreTopic topic, long from, long waitMillis) {
+			return delayed(GatewayFixture.this.view.read(topic, from, waitMillis));
+		}
+
+		@Override
+		public CompletableFuture<Void> append(StoreTopic topic, String key, Optional<byte[]> value) {
+			return GatewayFixture.this.view.append(topic, key, value);
+		}
+
+		private CompletableFuture<StoreBatch> delayed(CompletableFuture<StoreBatch> answer) {
+			long millis = GatewayFixture.this.readDelayMillis;
+			if (millis == 0) {
+				return answer;
+			}
+			CompletableFuture<StoreBatch> delayed = new CompletableFuture<>();
+			GatewayFixture.this.gateway.eventLoop().schedule(() -> answer.whenComplete((batch, failure) -> {
+				if (failure == null) {
+					delayed.complete(batch);
+				}
+				else {
+					delayed.completeExceptionally(failure);
+				}
+			}), millis, TimeUnit.MILLISECONDS);
+			return delayed;
+		}
+
+	}
+
 }
