Keep a request open until the last byte of its answer is written

Cause: CallerConnection ended a request when its answer was handed to the channel. The idle check, the limit on connections and the wait of the process took the connection for idle while bytes waited. Ruled out: the process exiting although it knows of the bytes, as the idle time-out cuts them as well.

Change: the request stays open until the write of the last byte succeeds. A caller that takes nothing for a second after its time limit is given up, and any caller after its time limit and the idle time-out. ebonyford_answers_unsent counts such answers, and ebonyford_requests_open includes them.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerConnection.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerConnection.java
@@ -9,9 +9,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -36,7 +38,8 @@
 
 /**
  * A connection of a caller. It reads requests whole, hands them on one at a time, and
- * keeps what a caller sends ahead until the answer before is sent.
+ * keeps what a caller sends ahead until the last byte of the answer before has been
+ * handed to the network.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
@@ -46,6 +49,12 @@
 	 */
 	private static final int GREATEST_BACKLOG = 64;
 
+	/**
+	 * How long in milliseconds a caller may take to take further bytes of the answer
+	 * after the deadline of its request: many round trips.
+	 */
+	private static final long LINGER_MILLIS = 1_000;
+
 	/**
 	 * The server to which the connection belongs.
 	 */
@@ -143,10 +152,15 @@
 	 * @param ending whether the process is about to end
 	 */
 	void check(boolean ending) {
-		if (this.open != null || this.closing) {
+		long now = this.clock.millis();
+		if (this.open != null) {
+			this.open.checkDelivery(now);
 			return;
 		}
-		long waited = this.clock.millis() - this.since;
+		if (this.closing) {
+			return;
+		}
+		long waited = now - this.since;
 		if (this.reading) {
 			if (waited > limits().headerMillis() && this.head == null) {
 				refuse(HttpResponseStatus.REQUEST_TIMEOUT);
@@ -162,13 +176,21 @@
 	}
 
 	/**
-	 * Returns whether a request is open or being read.
+	 * Returns whether a request is open or being read, or its answer is being sent.
 	 * @return {@code true} if the caller awaits an answer
 	 */
 	boolean busy() {
 		return this.open != null || this.reading;
 	}
 
+	/**
+	 * Returns whether an answer is complete but bytes of it still wait to be sent.
+	 * @return {@code true} if the caller takes them slowly
+	 */
+	boolean unsent() {
+		return this.open != null && this.open.done;
+	}
+
 	/**
 	 * Closes the connection, on which nothing has come since the last answer.
 	 */
@@ -353,7 +375,7 @@
 		this.limitsAtStart = this.limitsInForce.get();
 		if (!keep) {
 			this.closing = true;
-			this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+			this.channel.close();
 			return;
 		}
 		while (this.open == null && !this.closing && !this.backlog.isEmpty()) {
@@ -385,8 +407,30 @@
 		 */
 		private boolean done;
 
+		/**
+		 * By when the caller wants the answer, in milliseconds.
+		 */
+		private long deadlineAt;
+
+		/**
+		 * What waited to be sent of a complete answer at the last check.
+		 */
+		private long bytesLeft = -1;
+
+		/**
+		 * When the caller was last seen to take bytes of a complete answer, in
+		 * milliseconds.
+		 */
+		private long progressedAt;
+
 		OpenRequest(boolean keep) {
 			this.keep = keep;
+			this.deadlineAt = CallerConnection.this.clock.millis();
+		}
+
+		@Override
+		public void deadline(long atMillis) {
+			this.deadlineAt = atMillis;
 		}
 
 		@Override
@@ -399,8 +443,7 @@
 					new DefaultHttpHeaders());
 			response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
 			connectionHeader(response.headers());
-			CallerConnection.this.channel.writeAndFlush(response);
-			finish();
+			finish(CallerConnection.this.channel.writeAndFlush(response));
 		}
 
 		@Override
@@ -420,8 +463,7 @@
 		@Override
 		public void end() {
 			if (!this.done) {
-				CallerConnection.this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-				finish();
+				finish(CallerConnection.this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
 			}
 		}
 
@@ -468,9 +510,58 @@
 			}
 		}
 
-		private void finish() {
+		private void finish(ChannelFuture lastBytes) {
 			this.done = true;
-			ended(this.keep);
+			this.progressedAt = CallerConnection.this.clock.millis();
+			if (lastBytes.isDone()) {
+				sent(lastBytes);
+			}
+			else {
+				lastBytes.addListener((ChannelFutureListener) this::sent);
+			}
+		}
+
+		private void sent(ChannelFuture lastBytes) {
+			if (lastBytes.isSuccess()) {
+				ended(this.keep);
+			}
+			else {
+				CallerConnection.this.closing = true;
+				CallerConnection.this.channel.close();
+			}
+		}
+
+		/**
+		 * Gives the caller up if it takes nothing of a complete answer although the
+		 * deadline of its request has passed, or takes it all too slowly.
+		 * @param now the time in milliseconds
+		 */
+		void checkDelivery(long now) {
+			if (!this.done) {
+				return;
+			}
+			long left = bytesLeft();
+			if (left != this.bytesLeft) {
+				this.bytesLeft = left;
+				this.progressedAt = now;
+			}
+			boolean stalled = now > this.deadlineAt && now - this.progressedAt > LINGER_MILLIS;
+			if (stalled || now > this.deadlineAt + limits().idleMillis()) {
+				abort();
+			}
+		}
+
+		/**
+		 * Returns how much waits to be sent.
+		 * @return a number of bytes that changes with each byte that is sent
+		 */
+		private long bytesLeft() {
+			ChannelOutboundBuffer buffer = CallerConnection.this.channel.unsafe().outboundBuffer();
+			if (buffer == null) {
+				return 0;
+			}
+			int current = (buffer.current() instanceof ByteBuf bytes) ? bytes.readableBytes() : 0;
+			return buffer.totalPendingWriteBytes() + current;
 		}
 
 	}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerServer.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerServer.java
@@ -170,6 +170,14 @@
 		return this.connections.stream().filter(CallerConnection::busy).count();
 	}
 
+	/**
+	 * Returns the number of answers of which bytes still wait to be sent.
+	 * @return the number
+	 */
+	public long unsent() {
+		return this.connections.stream().filter(CallerConnection::unsent).count();
+	}
+
 	/**
 	 * Returns whether callers await answers, or may still send requests: balancers that
 	 * have not been told that the process ends go on doing so.
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/Responder.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/Responder.java
@@ -46,6 +46,13 @@
 	 */
 	boolean writable();
 
+	/**
+	 * Sets the time by which the caller wants the answer. A caller that takes nothing of
+	 * it any more is given up then.
+	 * @param atMillis the time in milliseconds
+	 */
+	void deadline(long atMillis);
+
 	/**
 	 * Sets who is told of the caller.
 	 * @param listener the listener
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -493,6 +493,7 @@
 	private void startDeadline() {
 		long now = this.context.clock().millis();
 		this.deadlineAt = this.startedAt + Math.min(this.route.timeoutMillis(), callerTimeoutMillis());
+		this.responder.deadline(this.deadlineAt);
 		this.deadline = this.context.eventLoop()
 			.schedule(this::deadlinePassed, this.deadlineAt - now, TimeUnit.MILLISECONDS);
 		this.requestLog.add(LogLine.of(GatewayEvent.REQUEST)
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -389,11 +389,12 @@
 		this.metrics.gauge("ebonyford_connections", this.callers::size);
 		this.metrics.gauge("ebonyford_gateways", this::gatewayCount);
 		this.metrics.gauge("ebonyford_upstreams", () -> this.storeView.upstreams().size());
+		this.metrics.gauge("ebonyford_answers_unsent", this.callers::unsent);
 		this.metrics.gauge("ebonyford_requests_open",
 				() -> this.storeView.upstreams()
 					.stream()
 					.mapToInt((upstream) -> upstream.state().ownLoad().running())
-					.sum());
+					.sum() + this.callers.unsent());
 		this.metrics.gauge("ebonyford_suspected_requests", suspects()::suspectCount);
 		this.metrics.gauge("ebonyford_suspected_parts", suspects()::suspectedPartCount);
 		this.metrics.gauge("ebonyford_log_lines_dropped", this.log::dropped);
