End the own side of a connection first after its last answer

What callers saw: an answer with Connection: close was lost, whole or in part, if the caller had sent a further request; a caller that went on sending a body that is too large was reset before it read the 413.

Cause: the gateway closed the socket right after the answer. With unread bytes the kernel then resets the connection and drops what it has not sent. Ruled out: answers that were not handed to the kernel whole, as 64 KiB were lost, too.

Change: the gateway ends its own side, discards what still comes, and closes when the caller has, or after a second. Idle connections are still closed at once, so that a request that crosses the close stays unread and may be sent again.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerConnection.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerConnection.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -39,7 +40,9 @@
 /**
  * A connection of a caller. It reads requests whole, hands them on one at a time, and
  * keeps what a caller sends ahead until the last byte of the answer before has been
- * handed to the network.
+ * handed to the network. After the last answer it ends its own side first and discards
+ * what still comes, since closing a socket with unread bytes resets the connection, by
+ * which the caller may lose the end of the answer.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
@@ -50,8 +53,9 @@
 	private static final int GREATEST_BACKLOG = 64;
 
 	/**
-	 * How long in milliseconds a caller may take to take further bytes of the answer
-	 * after the deadline of its request: many round trips.
+	 * How long in milliseconds a caller may take to close its side after the last answer,
+	 * and, after the deadline of its request, to take further bytes of the answer: many
+	 * round trips.
 	 */
 	private static final long LINGER_MILLIS = 1_000;
 
@@ -122,6 +126,11 @@
 	 */
 	private boolean closing;
 
+	/**
+	 * When this side was ended after the last answer, in milliseconds, 0 before that.
+	 */
+	private long lingersSince;
+
 	CallerConnection(CallerServer server, Clock clock, Supplier<CallerLimits> limits, AnswerEncoder encoder) {
 		this.server = server;
 		this.clock = clock;
@@ -158,6 +167,9 @@
 			return;
 		}
 		if (this.closing) {
+			if (this.lingersSince > 0 && now - this.lingersSince > LINGER_MILLIS) {
+				this.channel.close();
+			}
 			return;
 		}
 		long waited = now - this.since;
@@ -170,17 +182,20 @@
 			}
 		}
 		else if (waited > (ending ? CallerServer.QUIET_MILLIS : limits().idleMillis())) {
+			// Unlike after a last answer, a request that crosses the close stays unread,
+			// so that its caller may send it again.
 			this.closing = true;
 			this.channel.close();
 		}
 	}
 
 	/**
-	 * Returns whether a request is open or being read, or its answer is being sent.
+	 * Returns whether a request is open or being read, its answer is being sent, or the
+	 * caller has yet to notice the end of the last answer.
 	 * @return {@code true} if the caller awaits an answer
 	 */
 	boolean busy() {
-		return this.open != null || this.reading;
+		return this.open != null || this.reading || this.lingersSince > 0;
 	}
 
 	/**
@@ -191,6 +206,27 @@
 		return this.open != null && this.open.done;
 	}
 
+	/**
+	 * Returns whether the last answer was sent and what still comes is discarded.
+	 * @return {@code true} if this side of the connection has ended
+	 */
+	boolean lastAnswerSent() {
+		return this.lingersSince > 0;
+	}
+
+	/**
+	 * Ends this side of the connection, on which nothing waits to be sent, and waits for
+	 * the caller to end the other.
+	 */
+	private void endOutput() {
+		this.closing = true;
+		this.reading = false;
+		this.lingersSince = this.clock.millis();
+		this.server.busy(this);
+		this.channel.config().setAutoRead(true);
+		((DuplexChannel) this.channel).shutdownOutput();
+	}
+
 	/**
 	 * Closes the connection, on which nothing has come since the last answer.
 	 */
@@ -343,7 +379,7 @@
 		this.server.refused(status.code());
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
 		response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-		this.channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+		this.channel.writeAndFlush(response).addListener((sent) -> endOutput());
 	}
 
 	@Override
@@ -374,8 +410,7 @@
 		this.since = this.clock.millis();
 		this.limitsAtStart = this.limitsInForce.get();
 		if (!keep) {
-			this.closing = true;
-			this.channel.close();
+			endOutput();
 			return;
 		}
 		while (this.open == null && !this.closing && !this.backlog.isEmpty()) {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerServer.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/caller/CallerServer.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.util.ReferenceCountUtil;
 
 import org.ebonyford.catalog.CallerLimits;
 import org.ebonyford.lifecycle.ConnectionLimits;
@@ -240,6 +241,10 @@
 
 		@Override
 		public void channelRead(ChannelHandlerContext context, Object message) {
+			if (this.connection.lastAnswerSent()) {
+				ReferenceCountUtil.release(message);
+				return;
+			}
 			this.connection.server().reading();
 			this.connection.bytes();
 			context.fireChannelRead(message);
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/SlowReaderTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/SlowReaderTest.java
@@ -121,6 +121,17 @@
 		}
 	}
 
+	@Test(dataProvider = "sizes")
+	public void testAnswerIsSentThoughAFurtherRequestWaits(int size) throws Exception {
+		this.fixture.upstream("u1", "opens", Script.ok(body(size)));
+		try (Socket socket = connect()) {
+			send(socket, request("/open/1", "a", "close"));
+			TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
+			send(socket, request("/open/1", "b", "close"));
+			assertEquals(read(socket, size, READING_MILLIS / 2), size);
+		}
+	}
+
 	@Test
 	public void testAnswerIsSentThoughConnectionsAreClosedForOthers() throws Exception {
 		this.fixture.upstream("u1", "opens", Script.ok(body(LARGEST_BODY)));
@@ -142,6 +153,19 @@
 		}
 	}
 
+	@Test
+	public void testRefusalOfALargeBodyIsReadThoughTheCallerGoesOnSending() throws Exception {
+		try (Socket socket = connect()) {
+			send(socket, "POST /open/1 HTTP/1.1\r\nHost: acme.example\r\nId: a\r\nContent-Length: 200000\r\n\r\n");
+			for (int index = 0; index < 20; index++) {
+				send(socket, body(10_000));
+				TimeUnit.MILLISECONDS.sleep(TICK_MILLIS / 10);
+			}
+			assertTrue(new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1)
+				.startsWith("HTTP/1.1 413"));
+		}
+	}
+
 	@Test
 	public void testCallerThatReadsNothingIsGivenUpAtItsTimeLimit() throws Exception {
 		this.fixture.upstream("u1", "opens", Script.ok(body(LARGEST_BODY)));
