--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/exchange/TornAnswerTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/exchange/TornAnswerTest.java
@@ -148,7 +148,8 @@
 	private enum Kind {
 
 		FAILURE("500 Internal Server Error", "", "an error"), SUCCESS("200 OK", "", "a body"),
-		REFUSAL("503 Service Unavailable", "Not-Run: 1\r\n", ""), MISDIRECTED("421 Misdirected Request", "", "");
+		REFUSAL("503 Service Unavailable", "Not-Run: 1\r\n", ""), MISDIRECTED("421 Misdirected Request", "", ""),
+		STREAM("200 OK", "Content-Type: text/event-stream\r\n", "id: 1\ndata: a part");
 
 		private final String status;
 
@@ -163,14 +164,24 @@
 		}
 
 		private String body(String id) {
-			return this.body.isEmpty() ? "" : this.body + " for " + id;
+			String whole = this.body.isEmpty() ? "" : this.body + " for " + id;
+			return (this == STREAM) ? whole + "\n\nid: 2\ndata: the end for " + id + "\n\n" : whole;
 		}
 
 		private String answer(String id, boolean idFirst) {
 			String named = "Id: " + id + "\r\n";
-			String sealed = "Seal: s-" + id + "\r\nContent-Length: " + body(id).length() + "\r\n";
+			String framing = (this == STREAM) ? "Transfer-Encoding: chunked" : "Content-Length: " + body(id).length();
+			String sealed = "Seal: s-" + id + "\r\n" + framing + "\r\n";
 			return "HTTP/1.1 " + this.status + "\r\n" + (idFirst ? named + sealed : sealed + named) + this.headers
-					+ "\r\n" + body(id);
+					+ "\r\n" + ((this == STREAM) ? chunks(id) : body(id));
+		}
+
+		private String chunks(String id) {
+			StringBuilder chunks = new StringBuilder();
+			for (String event : body(id).split("(?<=\n\n)")) {
+				chunks.append(Integer.toHexString(event.length())).append("\r\n").append(event).append("\r\n");
+			}
+			return chunks + "0\r\n\r\n";
 		}
 
 		private String expected(String id) {
@@ -229,7 +240,9 @@
 			CompletableFuture<String> outcome = new CompletableFuture<>();
 			Choice choice = new Choice(this.upstream.state(), 1, 0, 0, 0, 0, 0, false);
 			Attempt attempt = new Attempt(Clock.ForSystem.INSTANCE, NAMES, new ResponseMemoryBudget(),
-					new Outcome(outcome), new Request(id), this.upstream, choice);
+					new Outcome(outcome, new StringBuilder()),
+					new Request(id, (id.equals("earlier") ? this.copied : this.kind) == Kind.STREAM), this.upstream,
+					choice);
 			this.loop.execute(attempt::start);
 			try {
 				return outcome.get(patienceMillis, TimeUnit.MILLISECONDS);
@@ -347,8 +360,9 @@
 	 * A request that may not be repeated.
 	 *
 	 * @param id the identifier
+	 * @param stream whether its answer is a stream
 	 */
-	private record Request(String id) implements Attempt.OutgoingRequest {
+	private record Request(String id, boolean stream) implements Attempt.OutgoingRequest {
 
 		@Override
 		public Work work() {
@@ -360,11 +374,6 @@
 			return false;
 		}
 
-		@Override
-		public boolean stream() {
-			return false;
-		}
-
 		@Override
 		public FullHttpRequest buildHttpRequest() {
 			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/pay",
@@ -379,8 +388,9 @@
 	 * Takes the outcome of an attempt.
 	 *
 	 * @param outcome the outcome in words
+	 * @param events the events of a stream
 	 */
-	private record Outcome(CompletableFuture<String> outcome) implements Attempt.Listener {
+	private record Outcome(CompletableFuture<String> outcome, StringBuilder events) implements Attempt.Listener {
 
 		@Override
 		public ServicePace pace() {
@@ -412,7 +422,8 @@
 
 		@Override
 		public void attemptFailed(Attempt attempt, String reason) {
-			this.outcome.complete("failed: " + reason);
+			boolean own = Kind.STREAM.body("next").startsWith(this.events.toString());
+			this.outcome.complete(own ? "failed: " + reason : "events of another answer: " + this.events);
 		}
 
 		@Override
@@ -422,11 +433,14 @@
 		}
 
 		@Override
-		public void eventsReceived(Attempt attempt, HttpResponse response, List<StreamEvent> events) {
+		public void eventsReceived(Attempt attempt, HttpResponse response, List<StreamEvent> received) {
+			received.forEach((event) -> this.events.append(new String(event.bytes(), StandardCharsets.ISO_8859_1)));
 		}
 
 		@Override
 		public void streamCompleted(Attempt attempt, HttpResponse response) {
+			this.outcome.complete(
+					"answered " + response.status().code() + " " + response.headers().get("Seal") + " " + this.events);
 		}
 
 	}
