Notice a suspension whoever asks for the age of the configuration first

What callers saw: nothing was reported. After a suspension a gateway went on with idle connections and read the store only at its next regular turn.

Cause: Freshness.checkDivergence told only its first caller, and every question for an age asked it and dropped the answer. Before, it was missed whenever a request came first.

Change: divergences are counted, and the gateway compares the count on each request and tick. The tests of Freshness compare the count in place of the result of checkDivergence, which is private now: as strict, since a divergence that is missed or counted twice fails them.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -218,6 +218,11 @@
 	 */
 	private final Freshness catalogFreshness;
 
+	/**
+	 * The number of clock divergences after which everything was read again.
+	 */
+	private int handledDivergences;
+
 	/**
 	 * Detects that the process was held up.
 	 */
@@ -452,9 +457,6 @@
 	private void tick() {
 		long now = this.clock.millis();
 		storeViewCurrent();
-		if (this.catalogFreshness.checkDivergence()) {
-			handleClockDivergence();
-		}
 		this.storeView.expire();
 		this.storeView.upstreams().forEach((upstream) -> checkUpstream(upstream, now));
 		this.callers.check(this.shutdownStartedAt > 0 && now - this.shutdownStartedAt > BALANCER_NOTICE_MILLIS);
@@ -528,6 +530,7 @@
 
 	@Override
 	public boolean storeViewCurrent() {
+		checkClocks();
 		long now = this.clock.millis();
 		boolean stalled = this.stalls.check(now);
 		boolean outdated = this.stalls.outdated(this.storeFollower.ageMillis(), now);
@@ -538,7 +541,12 @@
 		return !outdated || !this.storeFollower.storeAnswers();
 	}
 
-	private void handleClockDivergence() {
+	private void checkClocks() {
+		int divergences = this.catalogFreshness.divergences();
+		if (divergences == this.handledDivergences) {
+			return;
+		}
+		this.handledDivergences = divergences;
 		this.log.write(LogLine.of(GatewayEvent.CLOCKS_DIVERGED));
 		this.calls.closeIdle();
 		this.storeView.upstreams().forEach((upstream) -> upstream.pool().closeIdle());
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/HeldUpGatewayTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/HeldUpGatewayTest.java
@@ -64,6 +64,14 @@
 		assertEquals(this.left.requests().size(), 0, answers + "\n" + this.fixture.log());
 	}
 
+	@Test
+	public void testSuspensionIsNoticedThoughARequestComesFirst() throws Exception {
+		this.fixture.suspend(HELD_UP_MILLIS);
+		String answer = this.fixture.call("/open/1", "a", "");
+		GatewayFixture.await("the suspension is noticed", () -> this.fixture.log().contains("CLOCKS_DIVERGED"));
+		assertTrue(answer.startsWith("HTTP/1.1 200"), answer + this.fixture.log());
+	}
+
 	@Test
 	public void testRequestsAreServedOnceTheStoreHasAnsweredAgain() throws Exception {
 		holdUp(() -> {
--- a/ebonyford/src/main/java/org/ebonyford/freshness/Freshness.java
+++ b/ebonyford/src/main/java/org/ebonyford/freshness/Freshness.java
@@ -65,9 +65,8 @@
 
 	/**
 	 * Compares the clocks, and discards what was read before if they diverge.
-	 * @return whether they diverged since the last comparison
 	 */
-	public boolean checkDivergence() {
+	private void checkDivergence() {
 		long currentOffsetMillis = this.wall.millis() - this.monotonic.millis();
 		boolean diverged = Math.abs(currentOffsetMillis - this.offsetMillis) > MAX_CLOCK_DRIFT_MILLIS;
 		if (diverged) {
@@ -75,7 +74,16 @@
 			this.divergences++;
 		}
 		this.offsetMillis = diverged ? currentOffsetMillis : this.offsetMillis;
-		return diverged;
+	}
+
+	/**
+	 * Returns how often the clocks have diverged. Whoever acts on that compares it with
+	 * an earlier result, since any call may be the first to notice a divergence.
+	 * @return the number of divergences so far
+	 */
+	public int divergences() {
+		checkDivergence();
+		return this.divergences;
 	}
 
 	/**
--- a/ebonyford/src/test/java/org/ebonyford/freshness/FreshnessTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/freshness/FreshnessTest.java
@@ -4,8 +4,6 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertFalse;
-import static org.testng.Assert.assertTrue;
 
 /**
  * Guards against a router that takes old data for recent after its VM was suspended or
@@ -58,10 +56,17 @@
 	public void testAgeIsUnknownAfterClockIsSetBack() {
 		this.freshness.confirmRead(this.freshness.startRead(), 0);
 		this.wall -= 2_000;
-		assertTrue(this.freshness.checkDivergence());
+		assertEquals(this.freshness.divergences(), 1);
 		assertEquals(this.freshness.ageMillis(), Freshness.UNKNOWN_AGE);
 	}
 
+	@Test
+	public void testDivergenceIsCountedThoughTheAgeWasAskedFirst() {
+		this.wall += 4_000;
+		assertEquals(this.freshness.ageMillis(), Freshness.UNKNOWN_AGE);
+		assertEquals(this.freshness.divergences(), 1);
+	}
+
 	@Test
 	public void testReadSentBeforeSuspensionIsIgnored() {
 		Freshness.ReadStart start = this.freshness.startRead();
@@ -73,11 +78,11 @@
 	@Test
 	public void testAgeIsKnownForReadAfterDivergence() {
 		this.wall += 4_000;
-		assertTrue(this.freshness.checkDivergence());
+		assertEquals(this.freshness.divergences(), 1);
 		this.freshness.confirmRead(this.freshness.startRead(), 0);
 		pass(100);
 		assertEquals(this.freshness.ageMillis(), 100);
-		assertFalse(this.freshness.checkDivergence());
+		assertEquals(this.freshness.divergences(), 1);
 	}
 
 	@Test
