Hold the open request in each test of kept connections

Cause, in the test: the latch that holds the request was made once for all tests of the class and released after the first, so that the request was answered at once, and the test saw it open only if it looked in time.

Change: each test makes its latch; a wait in vain shows the gateway's log.

--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -243,6 +243,18 @@
 		}
 	}
 
+	/**
+	 * Waits for a condition, and shows the gateway's log if that is in vain.
+	 */
+	void awaitLogged(String what, BooleanSupplier condition) {
+		try {
+			await(what, condition);
+		}
+		catch (AssertionError ex) {
+			throw new AssertionError(ex.getMessage() + "\n" + log(), ex);
+		}
+	}
+
 	static void await(String what, BooleanSupplier condition) {
 		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
 		while (!condition.getAsBoolean()) {
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/KeptConnectionLimitsTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/KeptConnectionLimitsTest.java
@@ -32,7 +32,7 @@
 
 	private static final String LARGE_HEADER = "X: " + "h".repeat(4_000) + "\r\n";
 
-	private final CountDownLatch held = new CountDownLatch(1);
+	private CountDownLatch held;
 
 	private GatewayFixture fixture;
 
@@ -41,6 +41,7 @@
 	@BeforeMethod
 	public void start() throws IOException {
 		this.fixture = new GatewayFixture().configured();
+		this.held = new CountDownLatch(1);
 		this.fixture.upstream("u1", "reads", Script.ok("done"));
 		this.fixture.upstream("u2", "pays", (request, out, connection) -> {
 			if (request.startsWith("POST")) {
@@ -87,7 +88,7 @@
 	public void testLargerRequestSentAheadIsTakenOnceTheLimitIsRaised() throws IOException {
 		connect(NARROW);
 		send(head("/pay/1", "Content-Length: 0\r\n"));
-		GatewayFixture.await("the request is open", () -> this.fixture.metrics().contains("requests_open 1"));
+		this.fixture.awaitLogged("the request is open", () -> this.fixture.metrics().contains("requests_open 1"));
 		this.fixture.limit(WIDE);
 		send(head("/read/1", LARGE_HEADER + "Content-Length: " + LARGE_BODY.length() + "\r\n") + LARGE_BODY);
 		pause(200);
