Log when a gateway stops trusting the peer through which it reads the store

No line told whether a gateway read through a peer or from the store when a change came late, so the hypotheses on a relay that has lost the store and on silent connections could not be told apart.

RelayedStoreTest checks that repeated failures are reported once.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/GatewayEvent.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/log/GatewayEvent.java
@@ -100,6 +100,10 @@
 	HELD_UP(39, true,
 			"The process was held up, and what it read before is too old; it reads the store again before it sends further requests."),
 
+	/** A read through a peer failed. */
+	RELAY_FAILED(40, true,
+			"A read of the store through a peer failed after others had succeeded; the store is read directly."),
+
 	/** An upstream has named a limit on requests or lifted it. */
 	UPSTREAM_LIMIT(29, true,
 			"An upstream has named another limit on requests a second in its answers, or, with -1, names none any more."),
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -49,6 +49,7 @@
 import org.ebonyford.gateway.store.MetadataStore;
 import org.ebonyford.gateway.store.RelayServer;
 import org.ebonyford.gateway.store.RelayedStore;
+import org.ebonyford.gateway.store.StoreTopic;
 import org.ebonyford.gateway.suspect.SuspectCoordinator;
 import org.ebonyford.gateway.wire.Adapter;
 import org.ebonyford.lifecycle.AdaptiveRequestLimiter;
@@ -358,7 +359,7 @@
 		bound.put("peers", this.peering.open(this.group, this.settings.peerAddress()));
 		bound.put("callers", listen(this.settings.callerAddress(), this.callers));
 		this.store = new RelayedStore(this.adapter.store(this.calls, this.settings.storeAddress()), this.calls,
-				this.peering::relayAddress);
+				this.peering::relayAddress, this::recordRelayFailure);
 		this.storeFollower = new StoreFollower(this.loop, this.store, this.catalogFreshness,
 				() -> new Freshness(this.clock, this.wall), this.storeView, this.peering, this.log);
 		InetSocketAddress relay = listen(this.settings.relayAddress(), new RelayServer(this.storeFollower::source));
@@ -370,6 +371,14 @@
 		return bound;
 	}
 
+	private void recordRelayFailure(StoreTopic topic, InetSocketAddress relay, Throwable cause) {
+		this.log.write(LogLine.of(GatewayEvent.RELAY_FAILED)
+			.with("topic", String.valueOf(topic))
+			.with("relay", String.valueOf(relay))
+			.with("reason", String.valueOf(cause))
+			.with("view_age_ms", this.storeFollower.ageMillis()));
+	}
+
 	private InetSocketAddress listen(InetSocketAddress address, ChannelInitializer<SocketChannel> handler) {
 		Channel channel = new ServerBootstrap().group(this.group)
 			.channel(NioServerSocketChannel.class)
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
@@ -52,21 +52,34 @@
 	 */
 	private final Supplier<Optional<InetSocketAddress>> relay;
 
+	/**
+	 * Is told of the relay's failures.
+	 */
+	private final Listener listener;
+
 	/**
 	 * The newest era of the store that an answer told.
 	 */
 	private long newestEra;
 
+	/**
+	 * Whether the last read through a relay failed.
+	 */
+	private boolean relayFailing;
+
 	/**
 	 * Creates a store that is read through peers.
 	 * @param store the store
 	 * @param calls makes the calls to peers
 	 * @param relay the address of the peer that relays at present
+	 * @param listener is told of the relay's failures
 	 */
-	public RelayedStore(MetadataStore store, HttpCalls calls, Supplier<Optional<InetSocketAddress>> relay) {
+	public RelayedStore(MetadataStore store, HttpCalls calls, Supplier<Optional<InetSocketAddress>> relay,
+			Listener listener) {
 		this.store = store;
 		this.calls = calls;
 		this.relay = relay;
+		this.listener = listener;
 	}
 
 	@Override
@@ -91,6 +104,7 @@
 		this.calls.call(peer.get(), call, wait + TIMEOUT_MILLIS)
 			.thenApply(this::batch)
 			.whenComplete((batch, failure) -> {
+				recordRelay(topic, peer.get(), failure);
 				if (failure == null) {
 					answer.complete(batch);
 				}
@@ -101,6 +115,13 @@
 		return answer;
 	}
 
+	private void recordRelay(StoreTopic topic, InetSocketAddress peer, Throwable failure) {
+		if (failure != null && !this.relayFailing) {
+			this.listener.relayFailed(topic, peer, failure);
+		}
+		this.relayFailing = failure != null;
+	}
+
 	@Override
 	public CompletableFuture<StoreBatch> readNow(StoreTopic topic, long from) {
 		return this.store.readNow(topic, from).thenApply(this::recordEra);
@@ -136,4 +157,20 @@
 		return this.store.append(topic, key, value);
 	}
 
+	/**
+	 * Is told of the relay's failures.
+	 */
+	public interface Listener {
+
+		/**
+		 * Notes that a read through the relay failed after others had succeeded. The
+		 * store is read instead.
+		 * @param topic the topic
+		 * @param relay the address of the relay
+		 * @param cause why
+		 */
+		void relayFailed(StoreTopic topic, InetSocketAddress relay, Throwable cause);
+
+	}
+
 }
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayedStoreTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayedStoreTest.java
@@ -29,6 +29,8 @@
 
 	private final AtomicInteger directReads = new AtomicInteger();
 
+	private final AtomicInteger relayFailures = new AtomicInteger();
+
 	private final AtomicLong relayAge = new AtomicLong();
 
 	private final TopicCache cache = new TopicCache((before, after) -> false);
@@ -43,6 +45,7 @@
 	public void start() {
 		this.group = new NioEventLoopGroup(1);
 		this.directReads.set(0);
+		this.relayFailures.set(0);
 		this.relayAge.set(30);
 		this.cache.reset(new StoreBatch(List.of(record("old")), 10));
 		this.cache.add(new StoreBatch(List.of(record("new")), 11));
@@ -53,7 +56,8 @@
 			.syncUninterruptibly()
 			.channel();
 		InetSocketAddress address = (InetSocketAddress) this.listener.localAddress();
-		this.store = new RelayedStore(new Direct(), new HttpCalls(this.group.next()), () -> Optional.of(address));
+		this.store = new RelayedStore(new Direct(), new HttpCalls(this.group.next()), () -> Optional.of(address),
+				(topic, relay, cause) -> this.relayFailures.incrementAndGet());
 	}
 
 	@AfterMethod(alwaysRun = true)
@@ -93,6 +97,15 @@
 		assertEquals(this.store.read(StoreTopic.OPERATOR, 10, 0).join().records().get(0).key(), "direct");
 	}
 
+	@Test
+	public void testFailingRelayIsReportedOnceUntilItSucceeds() {
+		for (long age : List.of(30L, 60_000L, 60_000L, 30L, 60_000L)) {
+			this.relayAge.set(age);
+			this.store.read(StoreTopic.OPERATOR, 10, 0).join();
+		}
+		assertEquals(this.relayFailures.get(), 2);
+	}
+
 	@Test
 	public void testStoreIsReadWhereTheRelayDoesNotReachBack() {
 		assertEquals(this.store.read(StoreTopic.OPERATOR, 9, 0).join().records().get(0).key(), "direct");
