Long-poll the store while the relay fails

When the relay's process is gone, connections to it are refused at once; each failed read was followed by a read of the store without a wait and without a pause, until the last report of the relay had expired.

That this is what the users saw is not shown.

The store is now asked with the wait of the read, so it answers at once if there is a record and otherwise holds the call. RelayedStoreTest .testStoreIsNotPolledInALoopWhileTheRelayRefusesConnections was red before (waited 0 instead of 600 ms) and is green.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
@@ -109,7 +109,7 @@
 					answer.complete(batch);
 				}
 				else {
-					direct(topic, from, answer);
+					direct(topic, from, waitMillis, answer);
 				}
 			});
 		return answer;
@@ -127,8 +127,16 @@
 		return this.store.readNow(topic, from).thenApply(this::recordEra);
 	}
 
-	private void direct(StoreTopic topic, long from, CompletableFuture<StoreBatch> answer) {
-		readNow(topic, from).whenComplete((batch, failure) -> {
+	/**
+	 * Reads from the store itself. The wait keeps a relay that fails at once from being
+	 * asked in a loop.
+	 * @param topic the topic
+	 * @param from the offset of the first record
+	 * @param waitMillis how long the store may wait for a record, in milliseconds
+	 * @param answer completes with the records
+	 */
+	private void direct(StoreTopic topic, long from, long waitMillis, CompletableFuture<StoreBatch> answer) {
+		this.store.read(topic, from, waitMillis).thenApply(this::recordEra).whenComplete((batch, failure) -> {
 			if (failure == null) {
 				answer.complete(batch);
 			}
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayedStoreTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayedStoreTest.java
@@ -29,6 +29,8 @@
 
 	private final AtomicInteger directReads = new AtomicInteger();
 
+	private final AtomicLong directWait = new AtomicLong();
+
 	private final AtomicInteger relayFailures = new AtomicInteger();
 
 	private final AtomicLong relayAge = new AtomicLong();
@@ -97,6 +99,13 @@
 		assertEquals(this.store.read(StoreTopic.OPERATOR, 10, 0).join().records().get(0).key(), "direct");
 	}
 
+	@Test
+	public void testStoreIsNotPolledInALoopWhileTheRelayRefusesConnections() {
+		this.listener.close().syncUninterruptibly();
+		this.store.read(StoreTopic.OPERATOR, 10, 600).join();
+		assertEquals(this.directWait.get(), 600);
+	}
+
 	@Test
 	public void testFailingRelayIsReportedOnceUntilItSucceeds() {
 		for (long age : List.of(30L, 60_000L, 60_000L, 30L, 60_000L)) {
@@ -154,6 +163,7 @@
 		@Override
 		public CompletableFuture<StoreBatch> read(StoreTopic topic, long from, long waitMillis) {
 			RelayedStoreTest.this.directReads.incrementAndGet();
+			RelayedStoreTest.this.directWait.set(waitMillis);
 			return CompletableFuture.completedFuture(new StoreBatch(List.of(record("direct")), 20));
 		}
 
