Read the store in time though the relay has lost it

Cause: a gateway that reads through a peer took answers up to 1.7 s old, the relay held the next read for 0.6 s more even when its own records were too old to be of use, and the feed of the upstreams pauses for 0.35 s between reads. So a change came up to 2.3 s (configuration) and 2.65 s (upstreams) after the relay alone had lost the store; 2 s are allowed. Class: time limits along a path that are each sound and together exceed the bound.

Change: the relay ends a wait when its records pass the greatest age that a peer takes, which is 1.2 s now; the peer then reads the store. The announcements of gateways have no such bound and keep their long wait.

That the users saw this cause is not shown.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayServer.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayServer.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -100,10 +99,9 @@
 			Source source = RelayServer.this.sources.apply(topic.get());
 			long wait = Math.min(number(uri.parameters(), "wait"), LONGEST_WAIT_MILLIS);
 			CompletableFuture<StoreBatch> records = source.cache().read(from);
-			Future<?> timeout = context.executor()
-				.schedule(() -> records.complete(source.cache().since(from)), wait, TimeUnit.MILLISECONDS);
+			Wait end = new Wait(context, source, from, records, topic.get().timeBound());
+			end.check(wait);
 			records.whenComplete((batch, failure) -> {
-				timeout.cancel(false);
 				if (failure == null) {
 					answer(context, source, from);
 				}
@@ -150,4 +148,34 @@
 
 	}
 
+	/**
+	 * A peer's wait for a record. It ends after a time, or earlier once the records are
+	 * too old for the peer, which then reads the store itself.
+	 *
+	 * @param context the connection of the peer
+	 * @param source the records and their age
+	 * @param from the offset of the record
+	 * @param records completes when there is a record
+	 * @param timeBound whether old records are of no use to the peer
+	 */
+	private record Wait(ChannelHandlerContext context, Source source, long from, CompletableFuture<StoreBatch> records,
+			boolean timeBound) {
+
+		void check(long remainingMillis) {
+			if (this.records.isDone()) {
+				return;
+			}
+			long usableMillis = this.timeBound ? RelayedStore.MAX_AGE_MILLIS - this.source.ageMillis()
+					: remainingMillis;
+			if (remainingMillis <= 0 || usableMillis < 0) {
+				this.records.complete(this.source.cache().since(this.from));
+				return;
+			}
+			long stepMillis = Math.min(remainingMillis, usableMillis + 1);
+			this.context.executor()
+				.schedule(() -> check(remainingMillis - stepMillis), stepMillis, TimeUnit.MILLISECONDS);
+		}
+
+	}
+
 }
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
@@ -27,10 +27,12 @@
 	private static final long TIMEOUT_MILLIS = 400;
 
 	/**
-	 * The age in milliseconds from which a relay's answer is worth nothing: it has lost
-	 * the store. A sound relay's answer is at most two waits and two calls old.
+	 * The maximum age in milliseconds of a relay's answer, beyond which the relay may
+	 * have lost the store. It leaves time for the pause of a feed and a read of the store
+	 * within the two seconds in which a change must be in force, and is above the age
+	 * that a relay's long poll reaches.
 	 */
-	private static final long GREATEST_AGE_MILLIS = 1_700;
+	static final long MAX_AGE_MILLIS = 1_200;
 
 	/**
 	 * The status code of a success.
@@ -151,7 +153,7 @@
 			throw new StoreException("The relay answered " + answer.status(), false);
 		}
 		StoreBatch batch = RelayCodec.decode(answer.body());
-		if (batch.ageMillis() > GREATEST_AGE_MILLIS) {
+		if (batch.ageMillis() > MAX_AGE_MILLIS) {
 			throw new StoreException("The relay has lost the store", false);
 		}
 		if (batch.era() < this.newestEra) {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreTopic.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/StoreTopic.java
@@ -8,16 +8,34 @@
 	/**
 	 * What the operator writes.
 	 */
-	OPERATOR,
+	OPERATOR(true),
 
 	/**
 	 * The upstreams' entries.
 	 */
-	UPSTREAMS,
+	UPSTREAMS(true),
 
 	/**
 	 * The gateways' announcements of themselves.
 	 */
-	GATEWAYS
+	GATEWAYS(false);
+
+	/**
+	 * Whether changes must be in force within a bound.
+	 */
+	private final boolean timeBound;
+
+	StoreTopic(boolean timeBound) {
+		this.timeBound = timeBound;
+	}
+
+	/**
+	 * Returns whether changes of the topic must be in force within a bound, so that its
+	 * records may not be used while they are outdated.
+	 * @return {@code true} if there is a bound
+	 */
+	public boolean timeBound() {
+		return this.timeBound;
+	}
 
 }
