Close connections of calls that have been idle for over a second

Cause: gateways that read the store through a peer keep their idle connections to the store without limit. If such a connection has gone silent, the first read after the relay is gone waits for its time-out, 0.9 s for upstreams and 1.5 s for the configuration, on top of the second for which the relay was waited for; the next read may take another silent one. Class: a resource is trusted because nothing has told that it is gone.

Change: HttpCalls keeps a connection idle for a second at most, which is several pauses between regular calls, so that the relay itself and health checks reuse theirs as before. A new connection costs one round trip.

Evidence: HttpCallsTest.testConnectionThatHasBeenIdleForLongIsNotTrusted failed before (no answer within 2,000 ms), green now; the tests of the store client, the relay, stalls and status checks are green.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/HttpCalls.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/HttpCalls.java
@@ -36,6 +36,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 
+import org.ebonyford.time.Clock;
+
 /**
  * Calls whose answers are taken as a whole: those to the store and health checks.
  * Connections are kept for the next call; a call that meets a time-out closes its
@@ -76,22 +78,36 @@
 	 */
 	private static final int GREATEST_INFORMATIONAL = 16;
 
+	/**
+	 * The maximum time in milliseconds for which a connection is kept idle: several
+	 * pauses between regular calls. A connection may go silent without a reset, which a
+	 * call notices only by its time-out.
+	 */
+	static final long MAX_IDLE_MILLIS = 1_000;
+
 	/**
 	 * The event loop.
 	 */
 	private final EventLoop loop;
 
 	/**
-	 * The idle connections by address.
+	 * The clock.
 	 */
-	private final Map<InetSocketAddress, Deque<Channel>> idle = new HashMap<>();
+	private final Clock clock;
+
+	/**
+	 * The idle connections by address, the one idle for longest first.
+	 */
+	private final Map<InetSocketAddress, Deque<Idle>> idle = new HashMap<>();
 
 	/**
 	 * Creates a client without connections.
 	 * @param loop the event loop
+	 * @param clock the monotonic clock
 	 */
-	public HttpCalls(EventLoop loop) {
+	public HttpCalls(EventLoop loop, Clock clock) {
 		this.loop = loop;
+		this.clock = clock;
 	}
 
 	/**
@@ -129,14 +145,17 @@
 	 * Closes the connections that are idle.
 	 */
 	public void closeIdle() {
-		this.idle.values().forEach((channels) -> channels.forEach(Channel::close));
+		this.idle.values().forEach((kept) -> kept.forEach((connection) -> connection.channel().close()));
 		this.idle.clear();
 	}
 
 	private Channel keptConnection(InetSocketAddress address) {
-		Deque<Channel> channels = this.idle.getOrDefault(address, new ArrayDeque<>());
-		while (!channels.isEmpty()) {
-			Channel channel = channels.removeLast();
+		Deque<Idle> kept = this.idle.getOrDefault(address, new ArrayDeque<>());
+		while (!kept.isEmpty() && this.clock.millis() - kept.getFirst().since() > MAX_IDLE_MILLIS) {
+			kept.removeFirst().channel().close();
+		}
+		while (!kept.isEmpty()) {
+			Channel channel = kept.removeLast().channel();
 			if (channel.isActive()) {
 				return channel;
 			}
@@ -144,6 +163,10 @@
 		return null;
 	}
 
+	private void keep(InetSocketAddress address, Channel channel) {
+		this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>()).addLast(new Idle(channel, this.clock.millis()));
+	}
+
 	private void send(Channel channel, InetSocketAddress address, Call call, long timeoutMillis,
 			CompletableFuture<Answer> answer) {
 		ScheduledFuture<?> timeout = this.loop.schedule(() -> {
@@ -151,10 +174,7 @@
 			channel.close();
 		}, timeoutMillis, TimeUnit.MILLISECONDS);
 		answer.whenComplete((value, failure) -> timeout.cancel(false));
-		channel.pipeline()
-			.get(AnswerHandler.class)
-			.expect(answer, call.greatestAnswer(),
-					() -> this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>()).addLast(channel));
+		channel.pipeline().get(AnswerHandler.class).expect(answer, call.greatestAnswer(), () -> keep(address, channel));
 		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(),
 				Unpooled.wrappedBuffer(call.body()));
 		request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
@@ -165,6 +185,15 @@
 		channel.writeAndFlush(request);
 	}
 
+	/**
+	 * A connection that is kept for the next call.
+	 *
+	 * @param channel the connection
+	 * @param since since when it is idle, in milliseconds
+	 */
+	private record Idle(Channel channel, long since) {
+	}
+
 	/**
 	 * What is asked.
 	 *
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -207,7 +207,7 @@
 	/**
 	 * HTTP client for calls to the store and for health checks.
 	 */
-	private final HttpCalls calls = new HttpCalls(this.loop);
+	private final HttpCalls calls;
 
 	/**
 	 * The configuration and the upstreams, as read from the store.
@@ -333,6 +333,7 @@
 		this.adapter = adapter;
 		this.clock = clock;
 		this.wall = wall;
+		this.calls = new HttpCalls(this.loop, clock);
 		this.log = log;
 		this.storeView = new StoreView(clock, adapter, log, settings.dataCentre(), this::createUpstream);
 		this.catalogFreshness = new Freshness(clock, wall);
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/http/HttpCallsTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/http/HttpCallsTest.java
@@ -18,6 +18,8 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+import org.ebonyford.time.Clock;
+
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.expectThrows;
 
@@ -42,13 +44,16 @@
 
 	private volatile String beforeSecond = "";
 
+	private volatile boolean silentLater;
+
 	@BeforeMethod
 	public void start() throws IOException {
 		this.sockets.clear();
 		this.afterFirst = "";
 		this.beforeSecond = "";
+		this.silentLater = false;
 		this.group = new NioEventLoopGroup(1);
-		this.calls = new HttpCalls(this.group.next());
+		this.calls = new HttpCalls(this.group.next(), Clock.ForSystem.INSTANCE);
 		this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
 		thread(this::accept);
 	}
@@ -82,6 +87,15 @@
 		expectThrows(CompletionException.class, this::status);
 	}
 
+	@Test
+	public void testConnectionThatHasBeenIdleForLongIsNotTrusted() throws InterruptedException {
+		this.silentLater = true;
+		assertEquals(status(), 200);
+		TimeUnit.MILLISECONDS.sleep(HttpCalls.MAX_IDLE_MILLIS + 100);
+		assertEquals(status(), 503);
+		assertEquals(this.sockets.size(), 2);
+	}
+
 	private int status() {
 		CompletableFuture<HttpCalls.Answer> answer = new CompletableFuture<>();
 		this.group.next()
@@ -117,6 +131,9 @@
 			InputStream in = socket.getInputStream();
 			boolean first = this.sockets.size() == 1;
 			while (readHead(in)) {
+				if (this.silentLater && !first && this.sockets.get(0) == socket) {
+					continue;
+				}
 				String answer = first ? HEALTHY + this.afterFirst : this.beforeSecond + FAILING;
 				first = false;
 				socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayWithoutStoreTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayWithoutStoreTest.java
@@ -126,9 +126,11 @@
 
 		Reader(StoreFeed.Plan plan) {
 			RelayWithoutStoreTest test = RelayWithoutStoreTest.this;
-			this.feed = new StoreFeed(test.group.next(), new RelayedStore(this, new HttpCalls(test.group.next()),
-					() -> Optional.of(test.relay), (topic, relay, cause) -> {
-					}), plan, new Freshness(test.clock, test.clock), new TopicCache((before, after) -> false), this);
+			this.feed = new StoreFeed(test.group.next(),
+					new RelayedStore(this, new HttpCalls(test.group.next(), Clock.ForSystem.INSTANCE),
+							() -> Optional.of(test.relay), (topic, relay, cause) -> {
+							}),
+					plan, new Freshness(test.clock, test.clock), new TopicCache((before, after) -> false), this);
 		}
 
 		private CompletableFuture<StoreBatch> unchanged() {
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayedStoreTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayedStoreTest.java
@@ -18,6 +18,7 @@
 import org.testng.annotations.Test;
 
 import org.ebonyford.gateway.http.HttpCalls;
+import org.ebonyford.time.Clock;
 
 import static org.testng.Assert.assertEquals;
 
@@ -58,8 +59,8 @@
 			.syncUninterruptibly()
 			.channel();
 		InetSocketAddress address = (InetSocketAddress) this.listener.localAddress();
-		this.store = new RelayedStore(new Direct(), new HttpCalls(this.group.next()), () -> Optional.of(address),
-				(topic, relay, cause) -> this.relayFailures.incrementAndGet());
+		this.store = new RelayedStore(new Direct(), new HttpCalls(this.group.next(), Clock.ForSystem.INSTANCE),
+				() -> Optional.of(address), (topic, relay, cause) -> this.relayFailures.incrementAndGet());
 	}
 
 	@AfterMethod(alwaysRun = true)
