Refuse requests instead of denying them by a configuration that the store lost

Cause: such a gateway hears from its peers that a newer configuration exists and refused keys for that with 503, but it looked the route up first, and a route that the copy lacks was denied with 404, which callers do not retry. Requests of public routes were handled by the older configuration, too. Class: a condition that is checked after the decision that needs it.

Change: the check comes before the route is looked up, and the gateway is not ready meanwhile, so that the balancer sends callers to its peers. keysCurrent no longer repeats the check.

Evidence: StoreRestoredTest.testAddedRouteIsNotDeniedByAGatewayThatStartsFromTheCopy got 404 before and gets 503 until the operator has written again, then 200; StoreRestoredTest, GatewayTest and StartingGatewayTest are green (50 tests).

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -340,6 +340,10 @@
 		if (awaitsStoreView(this::start)) {
 			return;
 		}
+		if (this.context.catalogSuperseded()) {
+			refuse(503, "peers know a newer configuration than the store", UNAVAILABLE_RETRY_MILLIS);
+			return;
+		}
 		Catalog catalog = this.context.catalog().get();
 		Optional<Route> found = catalog.routes()
 			.find(this.request.headers().get(HttpHeaderNames.HOST, ""), this.request.path());
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/ExchangeContext.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/ExchangeContext.java
@@ -69,6 +69,13 @@
 	 */
 	long catalogAgeMillis();
 
+	/**
+	 * Returns whether peers know a newer configuration than the store has returned since,
+	 * as it has come back from an older copy.
+	 * @return {@code true} until the operator has written the newer one again
+	 */
+	boolean catalogSuperseded();
+
 	/**
 	 * Returns whether the configuration is recent enough to accept keys: a revoked key
 	 * must not work once its revocation has to be in force.
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/Gateway.java
@@ -603,6 +603,9 @@
 	}
 
 	private String unreadyReason() {
+		if (catalogSuperseded()) {
+			return "the store lacks the configuration that peers know";
+		}
 		List<RouterRoster.Member> elsewhere = this.peering.peersInOtherDataCentres();
 		long lastHeardAt = elsewhere.stream().mapToLong(RouterRoster.Member::heardAt).max().orElse(0);
 		String obstacle = Readiness.obstacle(new Readiness.View(this.shutdownStartedAt > 0, this.storeView.complete(),
@@ -713,10 +716,14 @@
 		return this.catalogFreshness.ageMillis();
 	}
 
+	@Override
+	public boolean catalogSuperseded() {
+		return this.peering.storeLacksNewestCatalog();
+	}
+
 	@Override
 	public boolean keysCurrent() {
-		return catalogAgeMillis() < this.settings.revocationMillis() - REVOCATION_MARGIN_MILLIS
-				&& !this.peering.storeLacksNewestCatalog();
+		return catalogAgeMillis() < this.settings.revocationMillis() - REVOCATION_MARGIN_MILLIS;
 	}
 
 	@Override
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -73,6 +73,11 @@
 
 	private static final int ENGINE_SLOTS = 64;
 
+	/**
+	 * The version of the configuration that adds the route "/added/".
+	 */
+	private static final long ADDED_ROUTE_VERSION = 2;
+
 	private final FakeStore store;
 
 	private final MetadataStore view;
@@ -279,14 +284,17 @@
 	}
 
 	private Catalog catalog(long number) {
-		List<Route> routes = List.of(route("/read/", RouteKind.IDEMPOTENT, "reads", 3_000, false),
+		List<Route> routes = new ArrayList<>(List.of(route("/read/", RouteKind.IDEMPOTENT, "reads", 3_000, false),
 				route("/pay/", RouteKind.AT_MOST_ONCE, "pays", 3_000, false),
 				route("/stream/", RouteKind.STREAM, "streams", 3_000, false),
 				route("/resume/", RouteKind.RESUMABLE_STREAM, "resumes", 5_000, false),
 				route("/short/", RouteKind.AT_MOST_ONCE, "shorts", 300, false),
 				route("/open/", RouteKind.IDEMPOTENT, "opens", 3_000, true),
 				route("/cold/", RouteKind.AT_MOST_ONCE, "colds", 3_000, false),
-				route("/model/", RouteKind.AT_MOST_ONCE, "models", 3_000, false));
+				route("/model/", RouteKind.AT_MOST_ONCE, "models", 3_000, false)));
+		if (number >= ADDED_ROUTE_VERSION) {
+			routes.add(route("/added/", RouteKind.IDEMPOTENT, "reads", 3_000, true));
+		}
 		Map<String, ServiceDefinition> services = new HashMap<>();
 		routes.forEach((route) -> services.put(route.service(0),
 				new ServiceDefinition(route.service(0), "/health", 100, route.service(0).equals("colds") ? 4 : 0,
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/StoreRestoredTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/StoreRestoredTest.java
@@ -165,6 +165,32 @@
 		}
 	}
 
+	@Test
+	public void testAddedRouteIsNotDeniedByAGatewayThatStartsFromTheCopy() throws IOException {
+		this.fixture.upstream("u1", "reads", Script.ok("whole"));
+		this.copy = this.store.copy();
+		this.fixture.configure();
+		GatewayFixture.await("the route is added",
+				() -> this.fixture.call("/added/1", "a1", "").startsWith("HTTP/1.1 200 "));
+		restore(StoreTopic.OPERATOR, 0);
+		try (GatewayFixture later = new GatewayFixture(this.store, true)) {
+			GatewayFixture.await("the later gateway knows of the newer configuration",
+					() -> later.metrics().contains("ebonyford_gateways 2")
+							&& later.call("/read/1", "b", "").startsWith("HTTP/1.1 503 "));
+			long started = System.nanoTime();
+			while (System.nanoTime() - started < TimeUnit.MILLISECONDS.toNanos(REREAD_MILLIS)) {
+				String answer = later.call("/added/1", "c" + System.nanoTime(), "");
+				assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+				sleep(50);
+			}
+			assertEquals(later.readiness(), 503);
+			this.fixture.configure();
+			this.fixture.configure();
+			GatewayFixture.await("the route is served",
+					() -> later.call("/added/1", "d", "").startsWith("HTTP/1.1 200 ") && later.readiness() == 200);
+		}
+	}
+
 	private void restore(StoreTopic topic, int again) {
 		this.store.restore(this.copy);
 		for (int count = 0; count < again; count++) {
