Log the software version of upstreams and what streams are taken up

The gateway dropped the version that upstreams register, and its log did not tell which requests take up a stream, so that the hypotheses on ORDER could not be told apart. UpstreamEntry has the version now; UPSTREAM and PLACED tell it, and REQUEST tells the request and the event after which a caller takes up a stream. No decision uses them yet.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/exchange/Exchange.java
@@ -123,6 +123,11 @@
 	 */
 	private static final String BEARER_PREFIX = "Bearer ";
 
+	/**
+	 * The header with the last event that the receiver of a stream has.
+	 */
+	private static final String LAST_EVENT_ID = "Last-Event-Id";
+
 	/**
 	 * The gateway process that serves the request.
 	 */
@@ -510,7 +515,9 @@
 			.with("prompt_tokens", this.work.promptTokens())
 			.with("shared_tokens", this.work.sharedTokens())
 			.with("output_tokens", this.work.maxOutputTokens())
-			.with("deadline_ms", this.deadlineAt - this.startedAt));
+			.with("deadline_ms", this.deadlineAt - this.startedAt)
+			.with("resumes", this.request.headers().get(this.context.adapter().headers().resumedRequest(), ""))
+			.with("after_event", this.request.headers().get(LAST_EVENT_ID, "")));
 	}
 
 	private long callerTimeoutMillis() {
@@ -635,6 +642,7 @@
 		return LogLine.of(GatewayEvent.PLACED)
 			.with("request", this.id)
 			.with("upstream", choice.upstream().entry().id())
+			.with("version", choice.upstream().entry().version())
 			.with("expected_ms", choice.firstByteMillis())
 			.with("ahead_ms", choice.queueMillis())
 			.with("limit_ms", terms.firstByteLimitMillis())
@@ -1153,7 +1161,7 @@
 			.map(UpstreamState::entry)
 			.ifPresent((source) -> headers.set(names.memorySource(), source.host() + ":" + source.port()));
 		if (!this.lastEventId.isEmpty()) {
-			headers.set("Last-Event-Id", this.lastEventId);
+			headers.set(LAST_EVENT_ID, this.lastEventId);
 		}
 		byte[] body = this.request.body();
 		if (body.length > 0 || !this.request.method().equals(HttpMethod.GET)) {
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreView.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StoreView.java
@@ -347,6 +347,7 @@
 			.with("upstream", entry.id())
 			.with("service", entry.service())
 			.with("data_centre", entry.dataCentre())
+			.with("version", entry.version())
 			.with("draining", entry.draining())
 			.with("cold_ms", entry.coldMillis()));
 	}
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/wire/HeaderNames.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/wire/HeaderNames.java
@@ -18,11 +18,13 @@
  * gateways together
  * @param memorySource the address of the engine from which an engine fetches the memory
  * of shared parts of a prompt, set by the gateway
+ * @param resumedRequest the request whose answer began the stream that a caller takes up
+ * again
  * @param reserved further headers that only a gateway may set
  */
 public record HeaderNames(String requestId, String deadlineMillis, String organisation, String expectedUpstream,
 		String seal, String notExecuted, String leaving, String requestLimit, String memorySource,
-		Set<String> reserved) {
+		String resumedRequest, Set<String> reserved) {
 
 	/**
 	 * Creates names.
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/exchange/TornAnswerTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/exchange/TornAnswerTest.java
@@ -49,7 +49,7 @@
 public class TornAnswerTest {
 
 	private static final HeaderNames NAMES = new HeaderNames("Id", "Deadline", "Organisation", "Expected", "Seal",
-			"Not-Run", "Leaving", "Limit", "Memory-Source", Set.of());
+			"Not-Run", "Leaving", "Limit", "Memory-Source", "Resumes", Set.of());
 
 	/**
 	 * Long enough for bytes on loopback to be read.
@@ -224,7 +224,7 @@
 			this.cut = cut;
 			this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
 			UpstreamEntry entry = new UpstreamEntry("u1", "pays", "127.0.0.1", this.server.getLocalPort(), "dc1", 4,
-					false, 0, 1);
+					false, 0, 1, "v1");
 			Clock clock = Clock.ForSystem.INSTANCE;
 			this.upstream = new Upstream(new UpstreamState(entry, () -> 0, () -> 1, clock.millis()),
 					new ConnectionPool(loop, clock, new InetSocketAddress("127.0.0.1", this.server.getLocalPort()),
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -184,10 +184,17 @@
 	 * Starts an upstream and registers it.
 	 */
 	FakeUpstream upstream(String id, String service, FakeUpstream.Script script) {
+		return upstream(id, service, "v1", script);
+	}
+
+	/**
+	 * Starts an upstream of a software version and registers it.
+	 */
+	FakeUpstream upstream(String id, String service, String version, FakeUpstream.Script script) {
 		try {
 			FakeUpstream upstream = new FakeUpstream(script);
 			this.upstreams.add(upstream);
-			register(id, service, upstream.port(), "dc1", false);
+			register(id, service, upstream.port(), "dc1", false, version);
 			await("upstream " + id, () -> log().contains("\"upstream\":\"" + id + "\""));
 			return upstream;
 		}
@@ -197,7 +204,12 @@
 	}
 
 	void register(String id, String service, int port, String dataCentre, boolean draining) {
-		this.store.write(StoreTopic.UPSTREAMS, id, service + " " + port + " " + dataCentre + " " + draining);
+		register(id, service, port, dataCentre, draining, "v1");
+	}
+
+	void register(String id, String service, int port, String dataCentre, boolean draining, String version) {
+		this.store.write(StoreTopic.UPSTREAMS, id,
+				service + " " + port + " " + dataCentre + " " + draining + " " + version);
 	}
 
 	int readiness() {
@@ -316,7 +328,7 @@
 		@Override
 		public HeaderNames headers() {
 			return new HeaderNames("Id", "Deadline", "Organisation", "Expected", "Seal", "Not-Run", "Leaving", "Limit",
-					"Memory-Source", Set.of("Hold"));
+					"Memory-Source", "Resumes", Set.of("Hold"));
 		}
 
 		@Override
@@ -342,7 +354,7 @@
 			return (words.length < 4) ? Optional.empty()
 					: Optional.of(new UpstreamEntry(id, words[0], "127.0.0.1", Integer.parseInt(words[1]), words[2],
 							words[0].equals("models") ? ENGINE_SLOTS : 4, Boolean.parseBoolean(words[3]),
-							words[0].equals("colds") ? COLD_MILLIS : 0, 1));
+							words[0].equals("colds") ? COLD_MILLIS : 0, 1, (words.length > 4) ? words[4] : "v1"));
 		}
 
 		@Override
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/suspect/SuspectCoordinatorTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/suspect/SuspectCoordinatorTest.java
@@ -196,7 +196,7 @@
 	}
 
 	private static UpstreamEntry upstream(String id) {
-		return new UpstreamEntry(id, "service", "127.0.0.1", 80, "dc1", 4, false, 0, 1);
+		return new UpstreamEntry(id, "service", "127.0.0.1", 80, "dc1", 4, false, 0, 1, "v1");
 	}
 
 	/**
--- a/ebonyford/src/main/java/org/ebonyford/directory/UpstreamEntry.java
+++ b/ebonyford/src/main/java/org/ebonyford/directory/UpstreamEntry.java
@@ -12,9 +12,11 @@
  * @param draining whether it is about to leave and takes no new requests
  * @param coldMillis for how much longer it is cold, in milliseconds
  * @param startedAt the Unix time of its start in milliseconds, 0 if it does not tell
+ * @param version the version of its software, whose streams other versions cannot
+ * continue
  */
 public record UpstreamEntry(String id, String service, String host, int port, String dataCentre, int slots,
-		boolean draining, long coldMillis, long startedAt) {
+		boolean draining, long coldMillis, long startedAt, String version) {
 
 	/**
 	 * The greatest port.
@@ -41,7 +43,7 @@
 	 */
 	public UpstreamEntry asDraining() {
 		return new UpstreamEntry(this.id, this.service, this.host, this.port, this.dataCentre, this.slots, true,
-				this.coldMillis, this.startedAt);
+				this.coldMillis, this.startedAt, this.version);
 	}
 
 	/**
--- a/ebonyford/src/test/java/org/ebonyford/directory/UpstreamDirectoryTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/directory/UpstreamDirectoryTest.java
@@ -75,12 +75,12 @@
 
 	@Test
 	public void testNewStartUnderTheOldNameIsAnotherStart() {
-		UpstreamEntry again = new UpstreamEntry("a", "s", "10.0.0.1", 80, "dc", 4, false, 0, 7);
+		UpstreamEntry again = new UpstreamEntry("a", "s", "10.0.0.1", 80, "dc", 4, false, 0, 7, "v1");
 		assertTrue(!again.sameStart(entry("a", false)));
 	}
 
 	private static UpstreamEntry entry(String id, boolean draining) {
-		return new UpstreamEntry(id, "s", "10.0.0.1", 80, "dc", 4, draining, 0, 5);
+		return new UpstreamEntry(id, "s", "10.0.0.1", 80, "dc", 4, draining, 0, 5, "v1");
 	}
 
 }
--- a/ebonyford/src/test/java/org/ebonyford/placement/PlacementTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/placement/PlacementTest.java
@@ -243,9 +243,9 @@
 	private static List<UpstreamState> states(int count) {
 		List<UpstreamState> states = new ArrayList<>();
 		for (int index = 0; index < count; index++) {
-			states
-				.add(new UpstreamState(new UpstreamEntry("engine-" + index, "s", "10.0.0.1", 80, "dc", 64, false, 0, 1),
-						() -> 500_000, () -> 1, 0));
+			states.add(new UpstreamState(
+					new UpstreamEntry("engine-" + index, "s", "10.0.0.1", 80, "dc", 64, false, 0, 1, "v1"),
+					() -> 500_000, () -> 1, 0));
 		}
 		return states;
 	}
