Reject answers whose status line is not one of HTTP

An upstream in trouble sent an answer with the status 000, and the caller got it as an answer; so did 001, 099, 600, 2000, +200, 0200 and status lines with other separators.

Cause: the decoder takes any number for a status and any white space as a separator. Class: bytes of an upstream are trusted because a lenient parser made something of them.

Change: AnswerDecoder, which reads all answers of upstreams, health checks, the store and relays, checks the bytes of the status line: HTTP/1.0 or 1.1, one blank, three digits from 100 to 599, and a blank or the end. Anything else fails the answer: 502, or another attempt where the request may be repeated.

Evidence: InvalidHeadTest, 12 status lines on the routes of each kind: 11 of 12 reached callers before (-200 did not), none now; sound status lines, without a reason or with one that is not ASCII, are passed on. Of 100,000 random answers of RandomCutsTest none is read differently, and TornAnswerTest is green.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/AnswerDecoder.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/AnswerDecoder.java
@@ -43,6 +43,16 @@
 	 */
 	private boolean headOnly;
 
+	/**
+	 * Checks the bytes of heads.
+	 */
+	private final HeadValidator validator = new HeadValidator();
+
+	/**
+	 * Whether the bytes that are decoded belong to a head.
+	 */
+	private boolean inHead = true;
+
 	/**
 	 * Whether all that was decoded belongs to whole answers.
 	 */
@@ -74,18 +84,36 @@
 	protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
 		int decoded = out.size();
 		int readable = buffer.readableBytes();
+		int from = buffer.readerIndex();
 		super.decode(context, buffer, out);
+		if (this.inHead) {
+			this.validator.read(buffer, from, buffer.readerIndex() - from);
+		}
 		for (int index = decoded; index < out.size(); index++) {
-			if (out.get(index) instanceof HttpResponse response && response.decoderResult().isSuccess()
-					&& holdsStatusLine(response)) {
-				response.setDecoderResult(DecoderResult.failure(
-						new IllegalStateException("the head of the answer holds the beginning of another answer")));
+			if (out.get(index) instanceof HttpResponse response) {
+				checkHead(response);
 			}
+			this.inHead = out.get(index) instanceof LastHttpContent;
 		}
 		boolean ended = out.size() > decoded && out.get(out.size() - 1) instanceof LastHttpContent;
 		this.betweenAnswers = ended || (this.betweenAnswers && buffer.readableBytes() == readable);
 	}
 
+	private void checkHead(HttpResponse response) {
+		boolean valid = this.validator.endHead();
+		if (response.decoderResult().isFailure()) {
+			return;
+		}
+		if (!valid) {
+			response.setDecoderResult(
+					DecoderResult.failure(new IllegalStateException("the head of the answer is not one of HTTP")));
+		}
+		else if (holdsStatusLine(response)) {
+			response.setDecoderResult(DecoderResult
+				.failure(new IllegalStateException("the head of the answer holds the beginning of another answer")));
+		}
+	}
+
 	private static boolean holdsStatusLine(HttpResponse response) {
 		HttpVersion version = response.protocolVersion();
 		if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)
