Reject answers with an invalid field name in their head

An upstream in trouble sent an answer in whose head the name of a field held a blank or a tab, or began with one. The caller got it as a whole answer: the name was cut at the blank, or the line was joined to the field before.

Cause: for answers the decoder takes white space for the end of a name, and a line that begins with it for a continuation. A line such as "Content Length: 3" or "Transfer-Encoding : chunked" then decides how the body is read.

Change: HeadValidator also checks that each line of the head is a name of HTTP's token characters and a colon. Continuation lines, which HTTP has dropped, fail the answer as RFC 9112 allows gateways to do.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/HeadValidator.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/http/HeadValidator.java
@@ -21,6 +21,11 @@
 	 */
 	private static final int CHECKED_LENGTH = "HTTP/1.1 200 ".length();
 
+	/**
+	 * The characters of a field's name other than letters and digits.
+	 */
+	private static final String NAME_SYMBOLS = "!#$%&'*+-.^_`|~";
+
 	/**
 	 * The first characters of the status line.
 	 */
@@ -31,6 +36,16 @@
 	 */
 	private boolean inFields;
 
+	/**
+	 * The number of characters of the field that have been read.
+	 */
+	private int fieldLength;
+
+	/**
+	 * Whether the name of the field has ended.
+	 */
+	private boolean nameEnded;
+
 	/**
 	 * Whether the last byte was a carriage return, which belongs to the line unless a
 	 * line feed follows.
@@ -71,16 +86,37 @@
 	}
 
 	private void readInLine(char character) {
-		if (!this.inFields && this.statusLine.length() < CHECKED_LENGTH) {
+		if (this.inFields) {
+			readField(character);
+		}
+		else if (this.statusLine.length() < CHECKED_LENGTH) {
 			this.statusLine.append(character);
 		}
 	}
 
+	private void readField(char character) {
+		if (!this.nameEnded) {
+			this.nameEnded = character == ':' && this.fieldLength > 0;
+			this.invalid = this.invalid || !(this.nameEnded || allowedInName(character));
+		}
+		this.fieldLength++;
+	}
+
+	private static boolean allowedInName(char character) {
+		return character >= 'a' && character <= 'z' || character >= 'A' && character <= 'Z'
+				|| character >= '0' && character <= '9' || NAME_SYMBOLS.indexOf(character) >= 0;
+	}
+
 	private void endLine() {
-		if (!this.inFields && this.statusLine.length() > 0) {
+		if (this.inFields) {
+			this.invalid = this.invalid || this.fieldLength > 0 && !this.nameEnded;
+		}
+		else if (this.statusLine.length() > 0) {
 			this.inFields = true;
 			this.invalid = this.invalid || !STATUS_LINE.matcher(this.statusLine).matches();
 		}
+		this.fieldLength = 0;
+		this.nameEnded = false;
 	}
 
 	/**
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/InvalidHeadTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/InvalidHeadTest.java
@@ -46,6 +46,35 @@
 		assertRejected(service, statusLine, "");
 	}
 
+	@DataProvider
+	public Object[][] fields() {
+		return casesOf(List.of("pays", "streams"), "X Note: a", "X\tNote: a", "Note : a", "Note\t: a", " Note: a",
+				"\tNote: a", "No\u0001te: a", "No\u007fte: a", "No\u00e9te: a", "No\rte: a", ": a", "Note",
+				"Content Length: 3", "Transfer-Encoding : chunked", "No(te: a");
+	}
+
+	@Test(dataProvider = "fields")
+	public void testAnswerWithAnInvalidFieldIsNotPassedOn(String service, String field) {
+		assertRejected(service, "HTTP/1.1 200 OK", field + "\r\n");
+	}
+
+	@Test(dataProvider = "fields")
+	public void testFailureWithAnInvalidFieldIsNotPassedOn(String service, String field) {
+		assertRejected(service, "HTTP/1.1 500 Failed", field + "\r\n");
+	}
+
+	@Test(dataProvider = "fields")
+	public void testAnswerWithAnInvalidFieldIsNotPassedOnThoughItComesInPieces(String service, String field) {
+		FakeUpstream upstream = this.fixture.upstream("u1", service, (request, out, connection) -> {
+			String answer = answer(request, "HTTP/1.1 200 OK", field + "\r\n");
+			for (int from = 0; from < answer.length(); from += 7) {
+				Script.send(out, answer.substring(from, Math.min(from + 7, answer.length())));
+				pause();
+			}
+		});
+		assertNotPassedOn(upstream, service);
+	}
+
 	@DataProvider
 	public Object[][] soundHeads() {
 		return cases("HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 299 Any \u00e9 reason");
@@ -60,8 +89,12 @@
 	}
 
 	private static Object[][] cases(String... texts) {
+		return casesOf(List.of(SERVICES), texts);
+	}
+
+	private static Object[][] casesOf(List<String> services, String... texts) {
 		List<Object[]> cases = new ArrayList<>();
-		for (String service : SERVICES) {
+		for (String service : services) {
 			for (String text : texts) {
 				cases.add(new Object[] { service, text });
 			}
@@ -93,4 +126,13 @@
 		return this.fixture.call(path, "a1", service.equals("models") ? "Tokens: 100\r\n" : "");
 	}
 
+	private static void pause() {
+		try {
+			Thread.sleep(2);
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 }
