--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/BrokenAnswerTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/BrokenAnswerTest.java
@@ -1,6 +1,8 @@
 package org.ebonyford.gateway.process;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -12,6 +14,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import org.ebonyford.catalog.CallerLimits;
 import org.ebonyford.gateway.process.FakeUpstream.Script;
 
 import static org.testng.Assert.assertFalse;
@@ -134,6 +137,63 @@
 		}
 	}
 
+	/**
+	 * The answers of an upstream that has not read the request, and how it ends the
+	 * connection.
+	 */
+	@DataProvider
+	public Object[][] earlyAnswers() {
+		List<Object[]> cases = new ArrayList<>();
+		for (String service : ROUTES) {
+			for (long pauseMillis : new long[] { 0, 20, 200 }) {
+				cases.add(new Object[] { service, pauseMillis, true });
+				cases.add(new Object[] { service, pauseMillis, false });
+			}
+		}
+		return cases.toArray(Object[][]::new);
+	}
+
+	@Test(dataProvider = "earlyAnswers")
+	public void testAnswerWithoutALengthThatIsCutWhileTheRequestIsSentDoesNotLookComplete(String service,
+			long pauseMillis, boolean reset) throws Exception {
+		this.fixture.limit(new CallerLimits(4_096, 8 << 20, 5_000, 5_000));
+		try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+			server.setReceiveBufferSize(4_096);
+			this.fixture.register("u1", service, server.getLocalPort(), "dc1", false);
+			GatewayFixture.await("upstream", () -> this.fixture.log().contains("\"upstream\":\"u1\""));
+			FakeUpstream.thread(() -> answerEarly(server, pauseMillis, reset));
+			String answer = this.fixture.send(longRequest(service));
+			boolean whole = answer.contains("\r\nContent-Length: ") || answer.contains("\r\ncontent-length: ")
+					|| answer.endsWith("0\r\n\r\n");
+			assertFalse(answer.startsWith("HTTP/1.1 200") && whole, answer + this.fixture.log());
+		}
+	}
+
+	private static String longRequest(String service) {
+		String path = "/" + service.substring(0, service.length() - 1) + "/1";
+		int length = 6 << 20;
+		return "POST " + path + " HTTP/1.1\r\nHost: acme.example\r\nId: a1\r\nAuthorization: Bearer "
+				+ GatewayFixture.KEY + "\r\nConnection: close\r\n" + (service.equals("models") ? "Tokens: 100\r\n" : "")
+				+ "Content-Length: " + length + "\r\n\r\n" + "x".repeat(length);
+	}
+
+	private static void answerEarly(ServerSocket server, long pauseMillis, boolean reset) {
+		try {
+			while (true) {
+				Socket socket = server.accept();
+				socket.getInputStream().readNBytes(1_000);
+				Script.send(socket.getOutputStream(),
+						"HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s1\r\n\r\nid: 1\ndata: piece 1\n\n");
+				Thread.sleep(pauseMillis);
+				socket.setSoLinger(reset, 0);
+				socket.close();
+			}
+		}
+		catch (IOException | InterruptedException ex) {
+			// The test has ended.
+		}
+	}
+
 	private String call(String service) {
 		String path = "/" + service.substring(0, service.length() - 1) + "/1";
 		return this.fixture.call(path, "a1", service.equals("models") ? "Tokens: 100\r\n" : "");
