--- a/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Exchange.java
+++ b/ebonyford-router/src/main/java/org/ebonyford/router/upstream/Exchange.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Pattern;
 
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -30,6 +31,21 @@
  */
 final class Exchange implements Transfer.Receiver {
 
+	/**
+	 * The name of a field.
+	 */
+	private static final Pattern FIELD_NAME = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
+
+	/**
+	 * The lowest status code.
+	 */
+	private static final int MIN_STATUS = 100;
+
+	/**
+	 * The highest status code.
+	 */
+	private static final int MAX_STATUS = 599;
+
 	/**
 	 * The header that names the request.
 	 */
@@ -148,7 +164,7 @@
 
 	@Override
 	public void head(HttpResponse response, EntityDetails details) {
-		if (!this.send.request().value().equals(value(response, REQUEST_ID))) {
+		if (!validHead(response) || !this.send.request().value().equals(value(response, REQUEST_ID))) {
 			broken();
 			return;
 		}
@@ -299,6 +315,24 @@
 		return head;
 	}
 
+	/**
+	 * Returns whether the head is one of HTTP. The client takes any number for a status,
+	 * and keeps white space inside the name of a field.
+	 * @param response the head
+	 * @return {@code false} if it must not be passed on
+	 */
+	private static boolean validHead(HttpResponse response) {
+		if (response.getCode() < MIN_STATUS || response.getCode() > MAX_STATUS) {
+			return false;
+		}
+		for (Header header : response.getHeaders()) {
+			if (!FIELD_NAME.matcher(header.getName()).matches()) {
+				return false;
+			}
+		}
+		return true;
+	}
+
 	private Relay.Head relayed(HttpResponse response, EntityDetails details) {
 		List<HeaderField> all = new ArrayList<>();
 		for (Header header : response.getHeaders()) {
--- a/ebonyford-router/src/test/java/org/ebonyford/router/upstream/ExchangesTest.java
+++ b/ebonyford-router/src/test/java/org/ebonyford/router/upstream/ExchangesTest.java
@@ -196,6 +196,24 @@
 		});
 	}
 
+	@DataProvider
+	public Object[][] invalidHeads() {
+		return new Object[][] { { "000 None", "" }, { "001 None", "" }, { "099 Low", "" }, { "600 High", "" },
+				{ "2000 Long", "" }, { "+200 Signed", "" }, { "0200 Padded", "" }, { "200 OK", "X Note: a\r\n" },
+				{ "200 OK", "X\tNote: a\r\n" }, { "200 OK", "No\u0001te: a\r\n" } };
+	}
+
+	@Test(dataProvider = "invalidHeads")
+	public void testAnswerWithAnInvalidHeadIsNotPassedOn(String status, String field) throws Exception {
+		run((request, wire) -> {
+			wire.whole(status, request.id(), field, "body");
+			wire.socket().close();
+		}, (upstream, server) -> {
+			assertEquals(server.call("POST", COMPLETIONS, STREAM).statusCode(), 502);
+			assertEquals(server.awaitEnd().ending(), Ending.BROKEN);
+		});
+	}
+
 	@DataProvider
 	public Object[][] brokenInFrontOfTheCaller() {
 		return new Object[][] {
