Do not remember the version of streams whose beginner is not named

A caller that takes up a stream and does not name the request that began it was remembered under the empty name, so that the next such stream went on at the version of the first, whatever began it. Such streams are left out now; they go on only where one version serves.

StreamOriginsTest.testRequestThatIsNotNamedIsNotRemembered was red before.

--- a/ebonyford/src/main/java/org/ebonyford/stream/StreamOrigins.java
+++ b/ebonyford/src/main/java/org/ebonyford/stream/StreamOrigins.java
@@ -62,13 +62,17 @@
 
 	/**
 	 * Records that a request for a stream is sent to an upstream. If it is sent to
-	 * another one before its first event, the later one counts.
+	 * another one before its first event, the later one counts. A stream whose beginner
+	 * is not named cannot be told from others and is left out.
 	 * @param service the name of the service
 	 * @param request the request that begins the stream
 	 * @param version the version of the upstream
 	 * @param now the current time in milliseconds
 	 */
 	public void recordSent(String service, String request, String version, long now) {
+		if (request.isEmpty()) {
+			return;
+		}
 		StreamOrigin origin = new StreamOrigin(Rendezvous.hash(service), Rendezvous.hash(request),
 				Rendezvous.hash(version));
 		this.origins.remove(origin.request());
--- a/ebonyford/src/test/java/org/ebonyford/stream/StreamOriginsTest.java
+++ b/ebonyford/src/test/java/org/ebonyford/stream/StreamOriginsTest.java
@@ -98,6 +98,13 @@
 		assertEquals(one.version("a").orElseThrow(), Rendezvous.hash("v2"), "this gateway's own");
 	}
 
+	@Test
+	public void testRequestThatIsNotNamedIsNotRemembered() {
+		StreamOrigins one = new StreamOrigins(0);
+		one.recordSent("s", "", "v1", 10);
+		assertTrue(one.version("").isEmpty(), "another stream may have begun elsewhere");
+	}
+
 	private static StreamOrigin origin(String version) {
 		return new StreamOrigin(Rendezvous.hash("s"), Rendezvous.hash("a"), Rendezvous.hash(version));
 	}
