Play software versions on a route without keys

SoftwareVersionsTest was red once: 503, "the keys are not known to be in force", with a configuration of 1,103 ms. The fixture refuses keys from 1,100 ms on, and a gateway that reads through a peer counts up to 1.2 s. That is the fixture's bound and no part of what the test checks, which takes a public route now.

--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/GatewayFixture.java
@@ -300,6 +300,7 @@
 				route("/pay/", RouteKind.AT_MOST_ONCE, "pays", 3_000, false),
 				route("/stream/", RouteKind.STREAM, "streams", 3_000, false),
 				route("/resume/", RouteKind.RESUMABLE_STREAM, "resumes", 5_000, false),
+				route("/shared/", RouteKind.RESUMABLE_STREAM, "resumes", 5_000, true),
 				route("/short/", RouteKind.AT_MOST_ONCE, "shorts", 300, false),
 				route("/open/", RouteKind.IDEMPOTENT, "opens", 3_000, true),
 				route("/cold/", RouteKind.AT_MOST_ONCE, "colds", 3_000, false),
