Save origins of streams only while versions are mixed

Found on reading again. Each tick of 100 ms scheduled a further task although nothing is saved while one version serves; and a batch was taken for the last one of its slot if exactly one cycle of keys lay between them, so that old origins were saved once more as new ones. The tick saves by itself now, requests only where versions are mixed, and slots are counted from the epoch.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StreamOriginStore.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/process/StreamOriginStore.java
@@ -135,8 +135,9 @@
 	private boolean saving;
 
 	/**
-	 * The slot of the last batch. A key of the topic is used again only after the
-	 * lifetime of the streams in its batch.
+	 * The number of the slot in which the last batch was saved, counted from the epoch.
+	 * Each slot has a key, which is used again only after the lifetime of the streams in
+	 * its batch.
 	 */
 	private long lastSlot = -1;
 
@@ -162,8 +163,11 @@
 
 	@Override
 	public void recordSent(String service, String request, String version) {
-		this.origins.recordSent(service, request, version, this.clock.millis());
-		saveLater();
+		long now = this.clock.millis();
+		this.origins.recordSent(service, request, version, now);
+		if (this.origins.mixed(service, now)) {
+			saveLater();
+		}
 	}
 
 	/**
@@ -171,7 +175,9 @@
 	 */
 	void tick() {
 		observeVersions();
-		saveLater();
+		if (!this.saving) {
+			saveUnsaved();
+		}
 	}
 
 	private void saveLater() {
@@ -195,15 +201,15 @@
 
 	private void save(List<StreamOrigin> unsaved) {
 		long slotMillis = Math.max(MIN_SLOT_MILLIS, saveDelayMillis());
-		long slots = StreamOrigins.LIFETIME_MILLIS / slotMillis + 2;
-		long slot = this.wall.millis() / slotMillis % slots;
+		long keys = StreamOrigins.LIFETIME_MILLIS / slotMillis + 2;
+		long slot = this.wall.millis() / slotMillis;
 		if (slot != this.lastSlot) {
 			this.lastBatch.clear();
 		}
 		this.lastSlot = slot;
 		this.lastBatch.addAll(unsaved);
 		this.store
-			.append(StoreTopic.STREAMS, this.fleet.self() + "/" + slot,
+			.append(StoreTopic.STREAMS, this.fleet.self() + "/" + slot % keys,
 					Optional.of(encode(this.wall.millis(), this.lastBatch)))
 			.whenComplete((done, failure) -> {
 				if (failure != null) {
--- a/ebonyford/src/main/java/org/ebonyford/stream/StreamOrigins.java
+++ b/ebonyford/src/main/java/org/ebonyford/stream/StreamOrigins.java
@@ -127,6 +127,21 @@
 		return (recent.size() == 1) ? OptionalLong.of(recent.iterator().next()) : OptionalLong.empty();
 	}
 
+	/**
+	 * Returns whether several versions of a service have been in service of late, so that
+	 * origins have to be saved.
+	 * @param service the name of the service
+	 * @param now the current time in milliseconds
+	 * @return {@code true} if a stream may have begun at one of several versions
+	 */
+	public boolean mixed(String service, long now) {
+		return mixed(Rendezvous.hash(service), now);
+	}
+
+	private boolean mixed(long service, long now) {
+		return recentVersions(service, now).size() > 1;
+	}
+
 	private Set<Long> recentVersions(long service, long now) {
 		Map<Long, Long> seen = this.versions.getOrDefault(service, Map.of());
 		Set<Long> recent = new HashSet<>();
@@ -149,8 +164,7 @@
 		Map<Long, Boolean> mixed = new HashMap<>();
 		List<StreamOrigin> unsaved = new ArrayList<>();
 		this.origins.replaceAll((request, known) -> {
-			if (known.saved() || !mixed.computeIfAbsent(known.origin().service(),
-					(service) -> recentVersions(service, now).size() > 1)) {
+			if (known.saved() || !mixed.computeIfAbsent(known.origin().service(), (service) -> mixed(service, now))) {
 				return known;
 			}
 			unsaved.add(known.origin());
