Leave the store to a relay that reads it

Calls must not grow with the number of gateways.

Change: a bound for each topic, 1.5 s for the configuration, whose feed does not pause, 1.2 s for upstreams, whose relay pauses for 0.35 s between short reads.

Evidence: RelayWithoutStoreTest.testStoreIsLeftToTheRelayWhileItReadsIt, red with 1.2 s for the configuration (each of 40 readers fails), green now, and the two tests of a relay that has lost the store stay below 2,000 ms.

--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayServer.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayServer.java
@@ -99,7 +99,7 @@
 			Source source = RelayServer.this.sources.apply(topic.get());
 			long wait = Math.min(number(uri.parameters(), "wait"), LONGEST_WAIT_MILLIS);
 			CompletableFuture<StoreBatch> records = source.cache().read(from);
-			Wait end = new Wait(context, source, from, records, topic.get().timeBound());
+			Wait end = new Wait(context, source, from, records, topic.get());
 			end.check(wait);
 			records.whenComplete((batch, failure) -> {
 				if (failure == null) {
@@ -156,16 +156,16 @@
 	 * @param source the records and their age
 	 * @param from the offset of the record
 	 * @param records completes when there is a record
-	 * @param timeBound whether old records are of no use to the peer
+	 * @param topic the topic, which tells whether old records are of no use to the peer
 	 */
 	private record Wait(ChannelHandlerContext context, Source source, long from, CompletableFuture<StoreBatch> records,
-			boolean timeBound) {
+			StoreTopic topic) {
 
 		void check(long remainingMillis) {
 			if (this.records.isDone()) {
 				return;
 			}
-			long usableMillis = this.timeBound ? RelayedStore.MAX_AGE_MILLIS - this.source.ageMillis()
+			long usableMillis = this.topic.timeBound() ? this.topic.maxRelayedAgeMillis() - this.source.ageMillis()
 					: remainingMillis;
 			if (remainingMillis <= 0 || usableMillis < 0) {
 				this.records.complete(this.source.cache().since(this.from));
--- a/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
+++ b/ebonyford-gateway/src/main/java/org/ebonyford/gateway/store/RelayedStore.java
@@ -26,14 +26,6 @@
 	 */
 	private static final long TIMEOUT_MILLIS = 400;
 
-	/**
-	 * The maximum age in milliseconds of a relay's answer, beyond which the relay may
-	 * have lost the store. It leaves time for the pause of a feed and a read of the store
-	 * within the two seconds in which a change must be in force, and is above the age
-	 * that a relay's long poll reaches.
-	 */
-	static final long MAX_AGE_MILLIS = 1_200;
-
 	/**
 	 * The status code of a success.
 	 */
@@ -104,7 +96,7 @@
 		HttpCalls.Call call = HttpCalls.Call.get(RelayServer.uri(topic, from, wait));
 		CompletableFuture<StoreBatch> answer = new CompletableFuture<>();
 		this.calls.call(peer.get(), call, wait + TIMEOUT_MILLIS)
-			.thenApply(this::batch)
+			.thenApply((relayed) -> batch(topic, relayed))
 			.whenComplete((batch, failure) -> {
 				recordRelay(topic, peer.get(), failure);
 				if (failure == null) {
@@ -148,12 +140,12 @@
 		});
 	}
 
-	private StoreBatch batch(HttpCalls.Answer answer) {
+	private StoreBatch batch(StoreTopic topic, HttpCalls.Answer answer) {
 		if (answer.status() != OK) {
 			throw new StoreException("The relay answered " + answer.status(), false);
 		}
 		StoreBatch batch = RelayCodec.decode(answer.body());
-		if (batch.ageMillis() > MAX_AGE_MILLIS) {
+		if (batch.ageMillis() > topic.maxRelayedAgeMillis()) {
 			throw new StoreException("The relay has lost the store", false);
 		}
 		if (batch.era() < this.newestEra) {
--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayWithoutStoreTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/store/RelayWithoutStoreTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -20,6 +21,7 @@
 import org.ebonyford.gateway.http.HttpCalls;
 import org.ebonyford.time.Clock;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 /**
@@ -55,9 +57,15 @@
 
 	private volatile long lostAt;
 
+	private volatile long relayCycleMillis;
+
+	private AtomicInteger relayFailures;
+
 	@BeforeMethod
 	public void start() {
 		this.lostAt = Long.MAX_VALUE;
+		this.relayCycleMillis = 0;
+		this.relayFailures = new AtomicInteger();
 		this.group = new NioEventLoopGroup(1);
 		this.cache.reset(new StoreBatch(List.of(), FIRST_OFFSET));
 		this.relay = (InetSocketAddress) new ServerBootstrap().group(this.group)
@@ -98,7 +106,30 @@
 	}
 
 	/**
-	 * A relay that reads the store until it loses it.
+	 * How a topic is read, and the time in milliseconds that a read of the relay takes
+	 * with the pause after it.
+	 */
+	@DataProvider
+	public Object[][] cycles() {
+		return new Object[][] { { new StoreFeed.Plan(StoreTopic.OPERATOR, 600, 0), 620 },
+				{ new StoreFeed.Plan(StoreTopic.UPSTREAMS, 0, 350), 370 } };
+	}
+
+	@Test(dataProvider = "cycles")
+	public void testStoreIsLeftToTheRelayWhileItReadsIt(StoreFeed.Plan plan, long cycleMillis) throws Exception {
+		this.relayCycleMillis = cycleMillis;
+		for (int index = 0; index < READERS; index++) {
+			Reader reader = new Reader(plan);
+			this.readers.add(reader);
+			this.group.next().schedule(reader.feed::readNow, index * STAGGER_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		TimeUnit.MILLISECONDS.sleep(4 * READERS * STAGGER_MILLIS);
+		assertEquals(this.relayFailures.get(), 0);
+	}
+
+	/**
+	 * A relay that reads the store until it loses it. Its records are as old as the read
+	 * before the one that is under way.
 	 */
 	private final class Source implements RelayServer.Source {
 
@@ -109,7 +140,10 @@
 
 		@Override
 		public long ageMillis() {
-			return Math.max(RelayWithoutStoreTest.this.clock.millis() - RelayWithoutStoreTest.this.lostAt, 0);
+			RelayWithoutStoreTest test = RelayWithoutStoreTest.this;
+			long now = test.clock.millis();
+			long sound = (test.relayCycleMillis == 0) ? 0 : test.relayCycleMillis + now % test.relayCycleMillis;
+			return sound + Math.max(now - test.lostAt, 0);
 		}
 
 	}
@@ -126,10 +160,10 @@
 
 		Reader(StoreFeed.Plan plan) {
 			RelayWithoutStoreTest test = RelayWithoutStoreTest.this;
+			AtomicInteger failures = test.relayFailures;
 			this.feed = new StoreFeed(test.group.next(),
 					new RelayedStore(this, new HttpCalls(test.group.next(), Clock.ForSystem.INSTANCE),
-							() -> Optional.of(test.relay), (topic, relay, cause) -> {
-							}),
+							() -> Optional.of(test.relay), (topic, relay, cause) -> failures.incrementAndGet()),
 					plan, new Freshness(test.clock, test.clock), new TopicCache((before, after) -> false), this);
 		}
 
