--- a/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
+++ b/ebonyford-benchmark/src/main/java/org/ebonyford/benchmark/engine/EngineFleet.java
@@ -723,7 +723,8 @@
 					() -> AdmissionControl.idleFraction(this.states.values(), this.pace, this.now),
 					EngineFleet.this.routers::size, this.number + 1);
 			for (Engine engine : EngineFleet.this.engines) {
-				UpstreamEntry entry = new UpstreamEntry(engine.name, "s", "10.0.0.1", 80, "dc", SLOTS, false, 0, 1, "v1");
+				UpstreamEntry entry = new UpstreamEntry(engine.name, "s", "10.0.0.1", 80, "dc", SLOTS, false, 0, 1,
+						"v1");
 				this.states.put(engine.name,
 						new UpstreamState(entry, () -> MEMORY_TOKENS, EngineFleet.this.routers::size, 0));
 			}
