Wait for the refusal that the test is about

The test took any 503 for the sign that the gateway knows of the newer configuration; one that has just started answers 503 while it knows none at all, and 404 until a peer has told it. That this is what happened is read from the code, the log of the gateway is not in the failure. It waits for the log line of the refusal itself now, and asks the same as before afterwards.

--- a/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/StoreRestoredTest.java
+++ b/ebonyford-gateway/src/test/java/org/ebonyford/gateway/process/StoreRestoredTest.java
@@ -174,9 +174,10 @@
 				() -> this.fixture.call("/added/1", "a1", "").startsWith("HTTP/1.1 200 "));
 		restore(StoreTopic.OPERATOR, 0);
 		try (GatewayFixture later = new GatewayFixture(this.store, true)) {
-			GatewayFixture.await("the later gateway knows of the newer configuration",
-					() -> later.metrics().contains("ebonyford_gateways 2")
-							&& later.call("/read/1", "b", "").startsWith("HTTP/1.1 503 "));
+			later.awaitLogged("the later gateway knows of the newer configuration", () -> {
+				later.call("/added/1", "b" + System.nanoTime(), "");
+				return later.log().contains("peers know a newer configuration than the store");
+			});
 			long started = System.nanoTime();
 			while (System.nanoTime() - started < TimeUnit.MILLISECONDS.toNanos(REREAD_MILLIS)) {
 				String answer = later.call("/added/1", "c" + System.nanoTime(), "");
