--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -95,24 +95,6 @@
 		System.exit(status);
 	}
 
-	/**
-	 * Writes a configuration with one idempotent route without keys.
-	 * @param version the version
-	 * @param coldPerSecond how many requests a second a cold engine bears
-	 * @param timeoutMillis how long a caller is kept waiting, in milliseconds
-	 */
-	final void configure(int version, double coldPerSecond, long timeoutMillis) {
-		this.store.write("keyed.op", "config",
-				"{\"version\":" + version + ",\"routes\":[{\"name\":\"r1\",\"host\":\"" + Caller.HOST
-						+ "\",\"path_prefix\":\"/items/\",\"kind\":\"idempotent\",\"timeout_ms\":" + timeoutMillis
-						+ ",\"target_latency_ms\":100,\"priority\":1,\"service\":\"items\",\"max_attempts\":2,"
-						+ "\"public\":true}],\"services\":[{\"name\":\"items\",\"health_path\":\"/health\","
-						+ "\"max_conns\":360,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":3.0,\"cold_per_s\":"
-						+ coldPerSecond + "}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
-						+ "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000,\"tokens_per_s\":210000},"
-						+ "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"key-1\"]}]}");
-	}
-
 	/**
 	 * Writes a configuration with an ordinary route, on which requests may run once, and
 	 * a second route to another service.
@@ -120,7 +102,7 @@
 	 * @param engines what the second service says of its engines, empty if it has no
 	 * models
 	 */
-	final void configureTwo(String second, String engines) {
+	final void configure(String second, String engines) {
 		this.store.write("keyed.op", "config",
 				"{\"version\":1,\"routes\":[" + route("r1", "items",
 						"\"path_prefix\":\"/items/\",\"kind\":\"non_idempotent\",\"timeout_ms\":"
@@ -143,17 +125,28 @@
 	}
 
 	/**
-	 * Writes the record of an engine that does not report again.
+	 * Starts an engine that reports regularly and is healthy, but answers requests in its
+	 * own way.
 	 * @param id the engine's identifier
 	 * @param service its service
-	 * @param port its port
 	 * @param slots its places
+	 * @param requests answers the requests
+	 * @throws IOException if it cannot be started
 	 */
-	final void place(String id, String service, int port, int slots) {
-		this.store.write("keyed.servers", id,
-				"{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + port
-						+ "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":" + slots
-						+ ",\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":1,\"born\":1}");
+	final void startEngine(String id, String service, int slots, HttpServer.Handler requests) throws IOException {
+		HttpServer server = use(new HttpServer(0, (request, exchange) -> {
+			if (request.path().equals("/health")) {
+				exchange.answer(200, "X-Ebonyford-Instance-Id: " + id + "\r\n", new byte[0]);
+				return true;
+			}
+			return requests.handle(request, exchange);
+		}));
+		HttpServer.start(() -> {
+			for (int sequence = 1; true; sequence++) {
+				this.store.write("keyed.servers", id, Engine.entry(service, server.port(), slots, sequence, 1));
+				Store.pause(Engine.HEARTBEAT_MILLIS);
+			}
+		});
 	}
 
 }
--- a/review/standins-2/EndlessHeads.java
+++ b/review/standins-2/EndlessHeads.java
@@ -51,15 +51,15 @@
 
 	@Override
 	boolean broken() throws Exception {
-		configureTwo("\"path_prefix\":\"/chat/\",\"kind\":\"idempotent\",\"timeout_ms\":" + LIMIT_MILLIS
+		configure("\"path_prefix\":\"/chat/\",\"kind\":\"idempotent\",\"timeout_ms\":" + LIMIT_MILLIS
 				+ ",\"target_latency_ms\":600,\"max_attempts\":2", "");
-		use(new Engine("i-1", "items", this.store, this.record, SLOTS, ITEM_MILLIS)).register(0);
+		use(new Engine("i-1", "items", this.store, this.record, SLOTS, ITEM_MILLIS)).register();
 		for (int number = 1; number <= ENGINES; number++) {
 			if (this.trouble && number <= SICK) {
-				place("c-" + number, "chat", use(new HttpServer(0, this::answerWithoutEnd)).port(), SLOTS);
+				startEngine("c-" + number, "chat", SLOTS, this::answerWithoutEnd);
 			}
 			else {
-				use(new Engine("c-" + number, "chat", this.store, this.record, SLOTS, WORK_MILLIS)).register(0);
+				use(new Engine("c-" + number, "chat", this.store, this.record, SLOTS, WORK_MILLIS)).register();
 			}
 		}
 		Gateway gateway = use(new Gateway("gateway-1", this.folder, this.store.port(), this.record)).start();
@@ -91,10 +91,6 @@
 	}
 
 	private boolean answerWithoutEnd(HttpMessage request, HttpServer.Exchange exchange) throws IOException {
-		if (request.path().equals("/health")) {
-			exchange.answer(200, "", new byte[0]);
-			return true;
-		}
 		this.record.add("an engine in trouble answers " + request.header("X-Ebonyford-Request-Id"));
 		exchange.write("HTTP/1.1 200 OK\r\n".getBytes(StandardCharsets.ISO_8859_1));
 		exchange.write("a:\r\n".repeat(FIRST_LINES).getBytes(StandardCharsets.ISO_8859_1));
--- a/review/standins-2/EndlessLines.java
+++ b/review/standins-2/EndlessLines.java
@@ -47,13 +47,12 @@
 
 	@Override
 	boolean broken() throws Exception {
-		configureTwo("\"path_prefix\":\"/chat/\",\"kind\":\"streaming\",\"timeout_ms\":" + LIMIT_MILLIS
+		configure("\"path_prefix\":\"/chat/\",\"kind\":\"streaming\",\"timeout_ms\":" + LIMIT_MILLIS
 				+ ",\"target_latency_ms\":600,\"max_attempts\":1,\"gap_aim_ms\":400", "");
-		use(new Engine("i-1", "items", this.store, this.record, SLOTS, 20)).register(0);
+		use(new Engine("i-1", "items", this.store, this.record, SLOTS, 20)).register();
 		for (int number = 1; number <= ENGINES; number++) {
 			boolean sick = this.trouble && number <= SICK;
-			place("c-" + number, "chat",
-					use(new HttpServer(0, (request, exchange) -> stream(request, exchange, sick))).port(), SLOTS);
+			startEngine("c-" + number, "chat", SLOTS, (request, exchange) -> stream(request, exchange, sick));
 		}
 		Gateway gateway = use(new Gateway("gateway-1", this.folder, this.store.port(), this.record)).start();
 		Store.pause(3_000);
@@ -70,10 +69,6 @@
 	}
 
 	private boolean stream(HttpMessage request, HttpServer.Exchange exchange, boolean sick) throws IOException {
-		if (request.path().equals("/health")) {
-			exchange.answer(200, "", new byte[0]);
-			return true;
-		}
 		String id = request.header("X-Ebonyford-Request-Id");
 		this.record.add((sick ? "an engine in trouble runs " : "an engine runs ") + id);
 		exchange.write(("HTTP/1.1 200 OK\r\nX-Ebonyford-Request-Id: " + id + "\r\nX-Ebonyford-Response-Seal: seal-" + id
--- a/review/standins-2/Engine.java
+++ b/review/standins-2/Engine.java
@@ -3,8 +3,6 @@
 import java.io.InputStream;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -16,7 +14,7 @@
 	/**
 	 * The interval of its liveness reports in milliseconds.
 	 */
-	private static final long HEARTBEAT_MILLIS = 1_200;
+	static final long HEARTBEAT_MILLIS = 1_200;
 
 	/**
 	 * The interval in milliseconds at which it looks whether the connection of a running
@@ -42,10 +40,6 @@
 
 	private final AtomicInteger running = new AtomicInteger();
 
-	private final List<Run> runs = new ArrayList<>();
-
-	private volatile long coldUntil;
-
 	private volatile boolean registered;
 
 	Engine(String id, String service, Store store, CaseRecord record, int slots, long workMillis) throws IOException {
@@ -60,14 +54,11 @@
 
 	/**
 	 * Registers the engine, which reports regularly from now on.
-	 * @param coldMillis for how long it is cold
 	 * @return the engine
 	 */
-	Engine register(long coldMillis) {
-		this.coldUntil = System.currentTimeMillis() + coldMillis;
+	Engine register() {
 		this.registered = true;
-		this.record.add("engine " + this.id + " registers at port " + this.server.port() + ", cold for " + coldMillis
-				+ " ms");
+		this.record.add("engine " + this.id + " registers at port " + this.server.port());
 		HttpServer.start(() -> {
 			for (int sequence = 1; this.registered; sequence++) {
 				report(sequence);
@@ -79,15 +70,26 @@
 
 	private synchronized void report(int sequence) {
 		if (this.registered) {
-			long cold = Math.max(0, this.coldUntil - System.currentTimeMillis());
 			this.store.write("keyed.servers", this.id,
-					"{\"service\":\"" + this.service + "\",\"address\":\"127.0.0.1:" + this.server.port()
-							+ "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":" + this.slots
-							+ ",\"state\":\"ready\",\"cold_left_ms\":" + cold + ",\"sequence\":" + sequence
-							+ ",\"born\":" + this.born + "}");
+					entry(this.service, this.server.port(), this.slots, sequence, this.born));
 		}
 	}
 
+	/**
+	 * Returns what an engine that is ready and warm says of itself.
+	 * @param service its service
+	 * @param port its port
+	 * @param slots its places
+	 * @param sequence the number of the report
+	 * @param born the start of the engine in Unix milliseconds
+	 * @return the value of its record
+	 */
+	static String entry(String service, int port, int slots, int sequence, long born) {
+		return "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + port
+				+ "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":" + slots
+				+ ",\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":" + sequence + ",\"born\":" + born + "}";
+	}
+
 	private boolean handle(HttpMessage request, HttpServer.Exchange exchange) throws IOException {
 		String requestId = request.header("X-Ebonyford-Request-Id");
 		String common = requestId.isEmpty() ? "" : "X-Ebonyford-Request-Id: " + requestId + "\r\n";
@@ -104,13 +106,8 @@
 			exchange.answer(503, common + "X-Ebonyford-Not-Executed: 1\r\n", new byte[0]);
 			return true;
 		}
-		Run run = new Run(requestId, request.uri(), System.nanoTime());
-		synchronized (this.runs) {
-			this.runs.add(run);
-		}
 		this.record.add("engine " + this.id + " runs " + requestId);
 		boolean connected = work(exchange);
-		run.ended = System.nanoTime();
 		this.running.decrementAndGet();
 		this.record.add("engine " + this.id + (connected ? " has run " : " drops ") + requestId);
 		if (connected) {
@@ -151,57 +148,10 @@
 		}
 	}
 
-	/**
-	 * Returns the runs so far.
-	 * @return the runs in the order in which they began
-	 */
-	List<Run> runs() {
-		synchronized (this.runs) {
-			return List.copyOf(this.runs);
-		}
-	}
-
-	String id() {
-		return this.id;
-	}
-
 	@Override
 	public void close() {
 		this.registered = false;
 		this.server.close();
 	}
 
-	/**
-	 * A run of a request.
-	 */
-	static final class Run {
-
-		/**
-		 * The identifier of the request.
-		 */
-		final String request;
-
-		/**
-		 * Its path and query.
-		 */
-		final String uri;
-
-		/**
-		 * When the run began, in nanoseconds.
-		 */
-		final long began;
-
-		/**
-		 * When the run ended, in nanoseconds, 0 before that.
-		 */
-		volatile long ended;
-
-		Run(String request, String uri, long began) {
-			this.request = request;
-			this.uri = uri;
-			this.began = began;
-		}
-
-	}
-
 }
--- a/review/standins-2/Gateway.java
+++ b/review/standins-2/Gateway.java
@@ -10,7 +10,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 
 /**
  * A gateway of the project as a process of its own, started by the deploy file's command
@@ -119,36 +118,10 @@
 		}
 	}
 
-	/**
-	 * Sends SIGTERM and waits for the end of the process.
-	 * @throws IOException if it does not end
-	 */
-	void terminate() throws IOException {
-		this.record.say("gateway " + this.name + " gets SIGTERM");
-		this.process.destroy();
-		try {
-			if (!this.process.waitFor(9, TimeUnit.SECONDS)) {
-				throw new IOException("Gateway " + this.name + " does not end");
-			}
-		}
-		catch (InterruptedException ex) {
-			throw new IOException(ex);
-		}
-		this.record.say("gateway " + this.name + " has ended");
-	}
-
 	int callers() {
 		return this.callers;
 	}
 
-	/**
-	 * Returns the key under which the gateway announces itself in the store.
-	 * @return the key
-	 */
-	String key() {
-		return "127.0.0.1:" + this.peers;
-	}
-
 	@Override
 	public void close() {
 		if (this.process != null) {
--- a/review/standins-2/OddHeader.java
+++ b/review/standins-2/OddHeader.java
@@ -52,14 +52,14 @@
 
 	@Override
 	boolean broken() throws Exception {
-		configureTwo(
+		configure(
 				"\"path_prefix\":\"/chat/\",\"kind\":\"streaming\",\"timeout_ms\":" + TIMEOUT_MILLIS
 						+ ",\"target_latency_ms\":400,\"max_attempts\":1,\"gap_aim_ms\":400",
 				",\"engine\":{\"slots\":64,\"kv_capacity\":675127,\"kv_token_bytes\":35136,\"link_mbps\":740000.0,"
 						+ "\"moves\":true,\"backups\":true,\"stride\":6,\"most\":12,\"pin_ms\":4000.0,"
 						+ "\"hold_ms\":2000.0,\"handle_s\":5.0,\"models\":[{\"name\":\"m\"}]}");
-		place("c-1", "chat", use(new HttpServer(0, this::stream)).port(), 64);
-		use(new Engine("i-1", "items", this.store, this.record, 64, 20)).register(0);
+		startEngine("c-1", "chat", 64, this::stream);
+		use(new Engine("i-1", "items", this.store, this.record, 64, 20)).register();
 		Gateway gateway = use(new Gateway("gateway-1", this.folder, this.store.port(), this.record)).start();
 		Store.pause(3_000);
 		for (int number = 1; number <= CLIENTS; number++) {
@@ -75,10 +75,6 @@
 	}
 
 	private boolean stream(HttpMessage request, HttpServer.Exchange exchange) throws IOException {
-		if (request.path().equals("/health")) {
-			exchange.answer(200, "", new byte[0]);
-			return true;
-		}
 		String id = request.header("X-Ebonyford-Request-Id");
 		this.record.add("the engine runs " + id);
 		exchange.answer(200, "X-Ebonyford-Request-Id: " + id + "\r\nX-Ebonyford-Response-Seal: seal-" + id
--- a/review/standins-2/OrdinaryCallers.java
+++ b/review/standins-2/OrdinaryCallers.java
@@ -6,7 +6,7 @@
 import java.util.List;
 
 /**
- * Ordinary callers of the route of {@link Case#configureTwo}: one small request each on a
+ * Ordinary callers of the route of {@link Case#configure}: one small request each on a
  * connection of its own, at even intervals. The route is not idempotent, so a caller
  * waits until its time limit.
  */
--- a/review/standins-2/SlashPaths.java
+++ b/review/standins-2/SlashPaths.java
@@ -29,9 +29,9 @@
 
 	@Override
 	boolean broken() throws Exception {
-		configureTwo("\"path_prefix\":\"/chat/\",\"kind\":\"idempotent\",\"timeout_ms\":800,\"target_latency_ms\":100,"
+		configure("\"path_prefix\":\"/chat/\",\"kind\":\"idempotent\",\"timeout_ms\":800,\"target_latency_ms\":100,"
 				+ "\"max_attempts\":2", "");
-		use(new Engine("i-1", "items", this.store, this.record, 64, 20)).register(0);
+		use(new Engine("i-1", "items", this.store, this.record, 64, 20)).register();
 		Gateway gateway = use(new Gateway("gateway-1", this.folder, this.store.port(), this.record)).start();
 		Store.pause(3_000);
 		OrdinaryCallers ordinary = use(new OrdinaryCallers(gateway.callers(), this.record));
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -26,8 +26,6 @@
 
 	private final HttpServer server;
 
-	private volatile Disruption disruption = (call) -> Fate.SERVED;
-
 	Store(int port) throws IOException {
 		this.server = new HttpServer(port, this::handle);
 	}
@@ -36,14 +34,6 @@
 		return this.server.port();
 	}
 
-	/**
-	 * Sets what becomes of the gateways' calls from now on.
-	 * @param next decides on each call
-	 */
-	void disrupt(Disruption next) {
-		this.disruption = next;
-	}
-
 	/**
 	 * Writes a record as the operator or an engine, which is confirmed on return.
 	 * @param topic the topic
@@ -61,30 +51,10 @@
 
 	private boolean handle(HttpMessage call, HttpServer.Exchange exchange) throws IOException {
 		pause(ANSWER_MILLIS);
-		switch (this.disruption.fate(call)) {
-			case BUSY -> exchange.answer(503, "", new byte[0]);
-			case DONE_LATE -> {
-				HttpServer.start(() -> {
-					pause(this.disruption.lateMillis());
-					append(call);
-				});
-				return silent(exchange);
-			}
-			case SERVED -> serve(call, exchange);
-		}
+		serve(call, exchange);
 		return true;
 	}
 
-	/**
-	 * Leaves a call without an answer, after which nothing comes on its connection.
-	 */
-	private static boolean silent(HttpServer.Exchange exchange) throws IOException {
-		while (exchange.in().read() >= 0) {
-			// What comes is not answered.
-		}
-		return false;
-	}
-
 	private void serve(HttpMessage call, HttpServer.Exchange exchange) throws IOException {
 		switch (call.path()) {
 			case "/-/log-append" -> exchange.answer(200, "Content-Type: application/json\r\n",
@@ -156,67 +126,11 @@
 		}
 	}
 
-	/**
-	 * Returns the key of the first record of an append.
-	 * @param call the append
-	 * @return the key
-	 */
-	static String key(HttpMessage call) {
-		return new String(call.body(), Integer.BYTES + 1, call.body()[Integer.BYTES] & 0xff, StandardCharsets.UTF_8);
-	}
-
-	/**
-	 * Returns whether an append drops a key.
-	 * @param call the append
-	 * @return {@code true} if its record has no value
-	 */
-	static boolean drops(HttpMessage call) {
-		return call.body().length == Integer.BYTES + 1 + (call.body()[Integer.BYTES] & 0xff);
-	}
-
 	@Override
 	public void close() {
 		this.server.close();
 	}
 
-	/**
-	 * What becomes of a call.
-	 */
-	enum Fate {
-
-		/** It is answered. */
-		SERVED,
-
-		/** It is refused with 503 and not carried out. */
-		BUSY,
-
-		/** It is carried out some seconds later and never answered. */
-		DONE_LATE
-
-	}
-
-	/**
-	 * Decides on calls.
-	 */
-	interface Disruption {
-
-		/**
-		 * Decides on a call.
-		 * @param call the call
-		 * @return what becomes of it
-		 */
-		Fate fate(HttpMessage call);
-
-		/**
-		 * Returns after how long late calls are carried out.
-		 * @return the time in milliseconds
-		 */
-		default long lateMillis() {
-			return 0;
-		}
-
-	}
-
 	/**
 	 * A record.
 	 *
